Serve a request from start to finish in separate processes

The first whole path: control, entries, stand-in backend servers that announce themselves, tanagerctl that plans and confirms, and a request that goes from caller to entry to backend server and back with its verdict.

Found by the first run of the integration test: after a backend server was killed, read 34 of 50 failed with NotRun. Cause: the dead server kept being picked until its lease ended, and the failed dials used the retry budget up. A larger budget was ruled out, since it would only move the point where it runs dry. A backend server whose exchange fails is now ejected for 200 ms, doubling to 5 s.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# SPDX-License-Identifier: Apache-2.0
+
+PACKAGES = ./... ./bench/...
+
+.PHONY: build demo test lint
+
+build: ## Builds both binaries into bin/.
+	go build -o bin/ ./cmd/tanagerbarrow ./cmd/tanagerctl
+
+demo: build ## Runs a small system with stand-in backend servers until Ctrl-C.
+	go run ./bench/cmd/demo
+
+test: ## Runs every test with the race detector.
+	go test -race -timeout 8m $(TESTFLAGS) $(PACKAGES)
+
+lint: bin/golangci-lint ## Checks format and style.
+	bin/golangci-lint fmt --diff ./... 
+	bin/golangci-lint run ./...
+	cd bench && ../bin/golangci-lint run -c ../.golangci.yml ./...
+
+bin/golangci-lint: tools/go.mod
+	cd tools && GOWORK=off go build -mod=mod -o ../bin/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
--- /dev/null
+++ b/bench/integration/doc.go
@@ -0,0 +1,3 @@
+// Package integration tests the shipped binaries in separate processes on
+// loopback.
+package integration
--- /dev/null
+++ b/caller/front.go
@@ -0,0 +1,123 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"tanagerbarrow/request"
+	"tanagerbarrow/state"
+	"tanagerbarrow/telemetry"
+	"tanagerbarrow/verdict"
+)
+
+// Dispatcher carries a classified request to a backend server.
+type Dispatcher interface {
+	// Dispatch returns the answer or an error that carries a verdict.
+	Dispatch(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error)
+}
+
+// Front serves callers.
+type Front struct {
+	// Configuration returns the configuration in force, or nil before the first.
+	Configuration func() *state.Configuration
+	// Dispatcher carries requests.
+	Dispatcher Dispatcher
+	// Region is the region of this entry.
+	Region string
+	// HomeEntries returns the addresses of entries in the regions.
+	HomeEntries func(regions []string) []string
+	// RequestTimeout is the deadline of a request that names none.
+	RequestTimeout time.Duration
+	// MaxBodyBytes bounds a request's body, in bytes.
+	MaxBodyBytes int64
+	// Log receives a line for each failed request.
+	Log zerolog.Logger
+	// Metrics receives each request.
+	Metrics *telemetry.Metrics
+}
+
+// Failure is the body of an error response.
+type Failure struct {
+	// Verdict says whether the request may have run.
+	Verdict string `json:"verdict"`
+	// Code is a short machine-readable reason.
+	Code string `json:"code"`
+	// Message says what failed and where.
+	Message string `json:"message"`
+	// HomeEntries are where a request with home regions is served.
+	HomeEntries []string `json:"home_entries,omitempty"`
+}
+
+// Register adds the front's route for every method and path.
+func (f *Front) Register(e *echo.Echo) { e.Any("/*", f.serve) }
+
+// serve answers one request.
+func (f *Front) serve(c echo.Context) error {
+	start := time.Now()
+	h := c.Request()
+	id := uuid.NewString()
+	c.Response().Header().Set(telemetry.RequestIDHeader, id)
+	r, err := f.classify(h, start)
+	if err != nil {
+		return f.fail(c, r, id, start, err)
+	}
+	r.ID = id
+	if !r.AllowedIn(f.Region) {
+		return f.misdirected(c, r, start)
+	}
+	h.Body = http.MaxBytesReader(c.Response(), h.Body, f.MaxBodyBytes)
+	ctx, cancel := context.WithDeadline(h.Context(), r.Deadline)
+	defer cancel()
+	res, err := f.Dispatcher.Dispatch(ctx, r, h)
+	if err != nil {
+		return f.fail(c, r, id, start, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	return f.answer(c, r, start, res)
+}
+
+// classify reads the headers against the configuration.
+func (f *Front) classify(h *http.Request, now time.Time) (*request.Request, error) {
+	config := f.Configuration()
+	if config == nil {
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_configuration",
+			"this entry has no configuration yet")
+	}
+	if h.ContentLength > f.MaxBodyBytes {
+		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
+			"the body has %d bytes, at most %d are allowed", h.ContentLength, f.MaxBodyBytes)
+	}
+	return request.Classify(config, h, now, f.RequestTimeout)
+}
+
+// misdirected refuses a request that may not be served in this region. It
+// neither logs nor labels anything of the request.
+func (f *Front) misdirected(c echo.Context, r *request.Request, start time.Time) error {
+	f.Metrics.Request("", "", "misdirected", verdict.NotRun.String(), http.StatusMisdirectedRequest, time.Since(start))
+	c.Response().Header().Set(verdict.Header, verdict.NotRun.String())
+	return c.JSON(http.StatusMisdirectedRequest, Failure{
+		Verdict: verdict.NotRun.String(), Code: "not_a_home_region",
+		Message:     "the request has home regions and " + strconv.Quote(f.Region) + " is not one of them",
+		HomeEntries: f.HomeEntries(r.HomeRegions),
+	})
+}
+
+// fail answers with an error.
+func (f *Front) fail(c echo.Context, r *request.Request, id string, start time.Time, err error) error {
+	e := verdict.As(err)
+	service, account, class := "", "", ""
+	if r != nil {
+		service, account, class = r.Service.Name, r.Account, string(r.Class)
+	}
+	f.Metrics.Request(service, account, class, e.Verdict.String(), e.Status, time.Since(start))
+	f.Log.Warn().Str("request_id", id).Str("service", service).Str("verdict", e.Verdict.String()).
+		Str("code", e.Code).Err(err).Msg("request failed")
+	c.Response().Header().Set(verdict.Header, e.Verdict.String())
+	return c.JSON(e.Status, Failure{Verdict: e.Verdict.String(), Code: e.Code, Message: err.Error()})
+}
--- /dev/null
+++ b/cmd/tanagerbarrow/main.go
@@ -0,0 +1,87 @@
+// Command tanagerbarrow is the daemon: an entry process for callers or a
+// control process of the replicated state.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"tanagerbarrow/control"
+	"tanagerbarrow/entry"
+	"tanagerbarrow/settings"
+	"tanagerbarrow/telemetry"
+)
+
+// exitBadSettings is the exit status for settings that break a rule.
+const exitBadSettings = 2
+
+func main() {
+	app := kingpin.New("tanagerbarrow", "A load balancer for servers whose load shifts within milliseconds.")
+	entryCommand := app.Command("entry", "Serve callers on an entry host.")
+	entryConfig := configFlag(entryCommand)
+	controlCommand := app.Command("control", "Run a voter of the replicated state on a host with a disk.")
+	controlConfig := configFlag(controlCommand)
+	checkCommand := app.Command("check", "Check a settings file; exit 0 if it is valid and 2 if not.")
+	checkConfig := configFlag(checkCommand)
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case entryCommand.FullCommand():
+		run(*entryConfig, settings.RoleEntry)
+	case controlCommand.FullCommand():
+		run(*controlConfig, settings.RoleControl)
+	case checkCommand.FullCommand():
+		load(*checkConfig)
+		fmt.Printf("%s: valid\n", *checkConfig)
+	}
+}
+
+// configFlag adds the flag that names the settings file.
+func configFlag(c *kingpin.CmdClause) *string {
+	return c.Flag("config", "Settings file in INI format.").Short('c').Required().String()
+}
+
+// load reads the settings or exits.
+func load(path string) (*settings.Settings, settings.Role) {
+	s, role, err := settings.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitBadSettings)
+	}
+	return s, role
+}
+
+// process is an entry or a control process.
+type process interface {
+	Run(ctx context.Context) error
+}
+
+// run runs a process until SIGINT or SIGTERM.
+func run(path string, want settings.Role) {
+	s, role := load(path)
+	if role != want {
+		fmt.Fprintf(os.Stderr, "%s: [host] role: is %q, but the command is %q\n", path, role, want)
+		os.Exit(exitBadSettings)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log := telemetry.NewLogger(os.Stdout, s)
+	var p process
+	var err error
+	if role == settings.RoleEntry {
+		p, err = entry.New(s, log)
+	} else {
+		p, err = control.New(s, log)
+	}
+	if err == nil {
+		err = p.Run(ctx)
+	}
+	if err != nil {
+		log.Error().Err(errors.Wrapf(err, "run %s", role)).Msg("process failed")
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagerbarrow/backend"
+	"tanagerbarrow/balance"
+	"tanagerbarrow/ledger"
+	"tanagerbarrow/limit"
+	"tanagerbarrow/membership"
+	"tanagerbarrow/request"
+	"tanagerbarrow/state"
+	"tanagerbarrow/verdict"
+)
+
+// maxAttempts bounds the backend servers that one request is sent to.
+const maxAttempts = 3
+
+// Exchanger sends one attempt to one backend server.
+type Exchanger interface {
+	// Exchange returns the answer or an error that carries a verdict.
+	Exchange(ctx context.Context, to *membership.BackendServer, a *backend.Attempt) (*http.Response, error)
+}
+
+// Claims is the ledger as an entry sees it.
+type Claims interface {
+	// Apply carries out a ledger command durably.
+	Apply(ctx context.Context, c ledger.Command) (ledger.Result, error)
+}
+
+// Dispatcher carries requests to backend servers.
+type Dispatcher struct {
+	// Members returns the known backend servers.
+	Members func() *membership.View
+	// Configuration returns the configuration in force.
+	Configuration func() *state.Configuration
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
+	// Exchanger sends attempts.
+	Exchanger Exchanger
+	// Claims is the ledger.
+	Claims Claims
+	// Retries bounds retries.
+	Retries *limit.RetryBudget
+
+	ejector  balance.Ejector
+	inFlight sync.Map // netip.AddrPort to *balance.InFlight
+}
+
+// Dispatch carries the request to a backend server and returns its answer. Its
+// errors are *[verdict.Error]. The caller closes the response's body.
+func (d *Dispatcher) Dispatch(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error) {
+	if r.Class == request.Order {
+		return d.order(ctx, r, h)
+	}
+	body := newBody(h)
+	return d.attempts(ctx, r, h, body)
+}
+
+// attempts sends the request to one backend server after another until one
+// answers or a failure forbids a retry.
+func (d *Dispatcher) attempts(ctx context.Context, r *request.Request, h *http.Request, body body) (*http.Response, error) {
+	d.Retries.Request()
+	var tried []netip.AddrPort
+	var last error
+	for range maxAttempts {
+		to := d.pick(r, tried)
+		if to == nil {
+			break
+		}
+		tried = append(tried, to.Address)
+		res, err := d.send(ctx, to, r, h, body)
+		if err == nil {
+			return res, nil
+		}
+		last = err
+		if ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
+			break
+		}
+	}
+	if last == nil {
+		last = d.noServer(r)
+	}
+	return nil, last
+}
+
+// mayRetry reports whether the request may be sent again after err. A request
+// that is not idempotent needs proof that it did not run.
+func mayRetry(r *request.Request, err error, body body) bool {
+	if !body.replayable() {
+		return false
+	}
+	return r.Class == request.Read || verdict.Of(err) == verdict.NotRun
+}
+
+// noServer returns the error of a request that no backend server may receive.
+func (d *Dispatcher) noServer(r *request.Request) error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_backend_server",
+		"service %q has no backend server in regions %q", r.Service.Name, r.HomeRegions)
+}
+
+// pick chooses the next backend server. An ejected one is chosen only where no
+// other is left.
+func (d *Dispatcher) pick(r *request.Request, tried []netip.AddrPort) *membership.BackendServer {
+	config := d.Configuration()
+	servers := d.Members().Services[r.Service.Name]
+	now := time.Now()
+	allowed := func(b *membership.BackendServer) bool {
+		return !config.ZonesOut[b.AvailabilityZone] && r.AllowedIn(d.Regions[b.AvailabilityZone]) &&
+			!slices.Contains(tried, b.Address)
+	}
+	healthy := func(b *membership.BackendServer) bool {
+		return allowed(b) && !d.ejector.Ejected(b.Address, now)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	if to := balance.TwoChoices(servers, healthy, d.load, random); to != nil {
+		return to
+	}
+	return balance.TwoChoices(servers, allowed, d.load, random)
+}
+
+// load returns this entry's requests in progress for each slot.
+func (d *Dispatcher) load(b *membership.BackendServer) float64 {
+	return float64(d.counter(b.Address).Load()) / float64(b.Slots)
+}
+
+// counter returns the count of requests in progress on an address.
+func (d *Dispatcher) counter(address netip.AddrPort) *balance.InFlight {
+	if c, ok := d.inFlight.Load(address); ok {
+		return c.(*balance.InFlight)
+	}
+	c, _ := d.inFlight.LoadOrStore(address, &balance.InFlight{})
+	return c.(*balance.InFlight)
+}
+
+// send sends one attempt and counts it until its answer is closed.
+func (d *Dispatcher) send(
+	ctx context.Context, to *membership.BackendServer, r *request.Request, h *http.Request, b body,
+) (*http.Response, error) {
+	count := d.counter(to.Address)
+	count.Add(1)
+	res, err := d.Exchanger.Exchange(ctx, to, &backend.Attempt{
+		Method: h.Method, Path: h.URL.Path, Query: h.URL.RawQuery, Header: h.Header,
+		Body: b.reader(), ContentLength: h.ContentLength,
+		RequestID: r.ID, Deadline: r.Deadline,
+	})
+	if err != nil {
+		count.Add(-1)
+		if ctx.Err() == nil {
+			d.ejector.Failed(to.Address, time.Now())
+		}
+		return nil, err
+	}
+	d.ejector.Succeeded(to.Address)
+	res.Body = &countedBody{ReadCloser: res.Body, count: count}
+	return res, nil
+}
+
+// newToken returns a token that identifies one arrival.
+func newToken() string { return uuid.NewString() }
+
+// settleTimeout bounds the storing of an order's outcome, also after the
+// caller has gone.
+const settleTimeout = 2 * time.Second
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"tanagerbarrow/backend"
+	"tanagerbarrow/caller"
+	"tanagerbarrow/dispatch"
+	"tanagerbarrow/limit"
+	"tanagerbarrow/membership"
+	"tanagerbarrow/peer"
+	"tanagerbarrow/platform"
+	"tanagerbarrow/settings"
+	"tanagerbarrow/telemetry"
+)
+
+// The reasons for which an entry is not ready.
+const (
+	reasonNoConfiguration = "no configuration"
+	reasonStopping        = "stopping"
+	reasonZoneOut         = "availability zone out"
+)
+
+// expiryPeriod is the time between searches for ended leases.
+const expiryPeriod = 200 * time.Millisecond
+
+// Entry is one entry process.
+type Entry struct {
+	settings  *settings.Settings
+	log       zerolog.Logger
+	metrics   *telemetry.Metrics
+	ready     *platform.Readiness
+	table     *membership.Table
+	follower  *follower
+	spreader  *spreader
+	peers     *peer.Server
+	callers   *platform.Server
+	admin     *platform.Server
+	peerLinks net.Listener
+}
+
+// New opens the listeners of an entry. Run serves on them.
+func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
+	e := &Entry{
+		settings: s, log: log,
+		metrics: telemetry.NewMetrics(),
+		ready:   platform.NewReadiness(reasonNoConfiguration),
+		table:   membership.NewTable(s.Limits.LeaseDuration),
+	}
+	controls := clients(s, s.ControlHosts)
+	e.follower = newFollower(s, controls, log)
+	e.follower.applied = e.configurationApplied
+	e.spreader = newSpreader(clients(s, s.EntryHosts), log)
+	e.peers = peer.NewServer(s.Access.PeerKey, log)
+	e.peers.Handle(peer.MethodMembers, peer.Typed(e.members))
+	return e, e.listen(controls)
+}
+
+// listen opens the listeners.
+func (e *Entry) listen(controls []*peer.Client) error {
+	var err error
+	if e.callers, err = platform.Listen(e.callerRoutes(controls), e.settings.Entry.CallerListen, e.settings.Limits); err != nil {
+		return err
+	}
+	if e.admin, err = platform.Listen(e.adminRoutes(), e.settings.Entry.AdminListen, e.settings.Limits); err != nil {
+		return err
+	}
+	e.peerLinks, err = net.Listen("tcp", e.settings.Host.Peer.String())
+	return errors.Wrapf(err, "listen for peers on %s", e.settings.Host.Peer)
+}
+
+// callerRoutes returns the front for callers.
+func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
+	front := &caller.Front{
+		Configuration: e.follower.current,
+		Dispatcher: &dispatch.Dispatcher{
+			Members:       e.table.View,
+			Configuration: e.follower.current,
+			Regions:       e.settings.Regions,
+			Exchanger:     backend.NewExchanger(),
+			Claims:        &claims{controls: controls},
+			Retries:       limit.NewRetryBudget(),
+		},
+		Region:         e.settings.Region(),
+		HomeEntries:    e.homeEntries,
+		RequestTimeout: e.settings.Limits.RequestTimeout,
+		MaxBodyBytes:   e.settings.Limits.MaxBodyBytes,
+		Log:            e.log,
+		Metrics:        e.metrics,
+	}
+	routes := platform.NewEcho()
+	front.Register(routes)
+	return routes
+}
+
+// adminRoutes returns the routes for backend servers and the platform.
+func (e *Entry) adminRoutes() *echo.Echo {
+	routes := platform.NewEcho()
+	intake := &backend.Intake{
+		Key: e.settings.Access.AnnounceKey, Regions: e.settings.Regions,
+		Table: e.table, Accepted: e.spreader.push,
+	}
+	intake.Register(routes)
+	e.ready.Register(routes)
+	routes.GET("/metrics", func(c echo.Context) error {
+		e.metrics.Write(c.Response())
+		return nil
+	})
+	return routes
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g errgroup.Group
+	g.Go(e.callers.Serve)
+	g.Go(e.admin.Serve)
+	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
+	g.Go(func() error { return e.follower.run(work) })
+	g.Go(func() error { return e.spreader.run(work) })
+	g.Go(func() error { return e.expire(work) })
+	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
+	<-ctx.Done()
+	err := e.shutdown()
+	stop()
+	return errors.CombineErrors(err, g.Wait())
+}
+
+// shutdown turns unready, finishes requests in progress and closes listeners.
+func (e *Entry) shutdown() error {
+	e.ready.Set(reasonStopping, true)
+	err := e.callers.Shutdown(e.settings.Limits.DrainTimeout)
+	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
+	err = errors.CombineErrors(err, e.peerLinks.Close())
+	e.peers.Close()
+	e.log.Info().Err(err).Msg("entry stopped")
+	return err
+}
+
+// expire drops ended leases.
+func (e *Entry) expire(ctx context.Context) error {
+	tick := time.NewTicker(expiryPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			e.table.Expire(now)
+		}
+	}
+}
+
+// members takes records of another entry in.
+func (e *Entry) members(_ context.Context, m peer.Members) (peer.Empty, error) {
+	now := time.Now()
+	for _, b := range m.Servers {
+		if err := b.Check(e.settings.Regions); err != nil {
+			return peer.Empty{}, err
+		}
+		if err := e.table.Put(b, now); err != nil && !errors.Is(err, membership.ErrOldGeneration) {
+			return peer.Empty{}, err
+		}
+	}
+	return peer.Empty{}, nil
+}
+
+// homeEntries returns the peer addresses' hosts of entries in the regions.
+func (e *Entry) homeEntries(regions []string) []string {
+	var found []string
+	for _, h := range e.settings.EntryHosts {
+		for _, region := range regions {
+			if e.settings.Regions[h.AvailabilityZone] == region {
+				port := e.settings.Entry.CallerListen.Port()
+				found = append(found, netip.AddrPortFrom(h.Peer.Addr(), port).String())
+			}
+		}
+	}
+	return found
+}
+
+// clients returns a client for each host but this one.
+func clients(s *settings.Settings, hosts []settings.Host) []*peer.Client {
+	var all []*peer.Client
+	for _, h := range hosts {
+		if h.Peer != s.Host.Peer {
+			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/limit/retry_test.go
@@ -0,0 +1,18 @@
+package limit
+
+import "testing"
+
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	b := NewRetryBudget()
+	const requests = 1000
+	retries := 0
+	for range requests {
+		b.Request()
+		for b.Retry() {
+			retries++
+		}
+	}
+	if most := int(retryReserve) + requests/10; retries > most {
+		t.Fatalf("%d retries for %d requests, at most %d are allowed", retries, requests, most)
+	}
+}
--- /dev/null
+++ b/request/request.go
@@ -0,0 +1,126 @@
+package request
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagerbarrow/state"
+	"tanagerbarrow/verdict"
+)
+
+// The request headers that callers may set.
+const (
+	// AccountHeader names the client account.
+	AccountHeader = "Client-Account"
+	// KeyHeader carries the idempotency key of an order.
+	KeyHeader = "Idempotency-Key"
+	// TimeoutHeader carries the time that the caller waits, in milliseconds.
+	TimeoutHeader = "Tanagerbarrow-Timeout-Ms"
+)
+
+// maxKeyBytes bounds an idempotency key, in bytes.
+const maxKeyBytes = 256
+
+// Class is the kind of a request.
+type Class string
+
+// The classes of requests.
+const (
+	// Read is an idempotent request; it may be retried and hedged.
+	Read Class = "read"
+	// Order is a non-idempotent request with an idempotency key.
+	Order Class = "order"
+	// Once is a non-idempotent request without a key; it is sent at most once.
+	Once Class = "once"
+)
+
+// Request is what the headers say about a request.
+type Request struct {
+	// ID follows the request through every process.
+	ID string
+	// Service is the service that serves the request.
+	Service state.Service
+	// Account is the client account, or "anonymous".
+	Account string
+	// Class is the kind of request.
+	Class Class
+	// Key is the idempotency key of an order.
+	Key string
+	// HomeRegions are the only regions that may serve, forward or store the
+	// request; empty means any region.
+	HomeRegions []string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// AllowedIn reports whether the request may be in the region.
+func (r *Request) AllowedIn(region string) bool {
+	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
+}
+
+// Classify reads a request's headers against a configuration. Its errors are
+// *[verdict.Error] with [verdict.NotRun].
+func Classify(c *state.Configuration, h *http.Request, now time.Time, timeout time.Duration) (*Request, error) {
+	name := serviceName(h.URL.Path)
+	service, ok := c.Services[name]
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, http.StatusNotFound, "unknown_service",
+			"service %q is not admitted", name)
+	}
+	r := &Request{Service: service, Account: account(h), Key: h.Header.Get(KeyHeader)}
+	if len(r.Key) > maxKeyBytes {
+		return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, "key_too_long",
+			"%s has %d bytes, at most %d are allowed", KeyHeader, len(r.Key), maxKeyBytes)
+	}
+	r.Class = classOf(h.Method, r.Key)
+	r.HomeRegions = c.HomeRegions(r.Account, h.URL.Path)
+	wait, err := callerTimeout(h, timeout)
+	if err != nil {
+		return nil, err
+	}
+	r.Deadline = now.Add(wait)
+	return r, nil
+}
+
+// serviceName returns the first segment of the path.
+func serviceName(path string) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return name
+}
+
+// account returns the client account of a request.
+func account(h *http.Request) string {
+	if a := h.Header.Get(AccountHeader); a != "" {
+		return a
+	}
+	return "anonymous"
+}
+
+// classOf returns the class of a method with or without a key.
+func classOf(method, key string) Class {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return Read
+	}
+	if key != "" {
+		return Order
+	}
+	return Once
+}
+
+// callerTimeout returns how long the caller waits, at most limit.
+func callerTimeout(h *http.Request, limit time.Duration) (time.Duration, error) {
+	text := h.Header.Get(TimeoutHeader)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, verdict.New(verdict.NotRun, http.StatusBadRequest, "bad_timeout",
+			"%s is %q, want a positive number of milliseconds", TimeoutHeader, text)
+	}
+	return min(time.Duration(ms)*time.Millisecond, limit), nil
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	// Host is this process's own host, from section [host].
+	Host Host
+	// Regions maps each availability zone to its region, from section
+	// [availability-zones].
+	Regions map[string]string
+	// EntryHosts are all entry hosts, from section [entry-hosts].
+	EntryHosts []Host
+	// ControlHosts are the voters, from section [control-hosts].
+	ControlHosts []Host
+	// Entry holds section [entry].
+	Entry Entry
+	// Control holds section [control].
+	Control Control
+	// Access holds section [access].
+	Access Access
+	// Limits holds section [limits].
+	Limits Limits
+}
+
+// Host is one machine of the system.
+type Host struct {
+	// Name identifies the host among all hosts.
+	Name string
+	// AvailabilityZone is the availability zone that the host stands in.
+	AvailabilityZone string
+	// Peer is the address on which the host's process serves its peers.
+	Peer netip.AddrPort
+}
+
+// Entry are the listen addresses of an entry process.
+type Entry struct {
+	// CallerListen serves callers over HTTP.
+	CallerListen netip.AddrPort
+	// AdminListen serves announcements, readiness and metrics over HTTP.
+	AdminListen netip.AddrPort
+}
+
+// Control are the settings of a control process.
+type Control struct {
+	// OperatorListen serves the administration API over HTTP.
+	OperatorListen netip.AddrPort
+	// DataFolder holds every file of the process.
+	DataFolder string
+}
+
+// Access are the keys that peers, operators and backend servers present.
+type Access struct {
+	// PeerKey is presented between processes of the system.
+	PeerKey string
+	// OperatorKey is presented by operators.
+	OperatorKey string
+	// AnnounceKey is presented by backend servers; empty lets all announce.
+	AnnounceKey string
+}
+
+// Limits bound what one entry process takes in.
+type Limits struct {
+	// MaxHeaderBytes bounds a request's header, in bytes; 16384 by default.
+	MaxHeaderBytes int64
+	// MaxBodyBytes bounds a request's body, in bytes; 1073741824 by default.
+	MaxBodyBytes int64
+	// ReadHeaderTimeout bounds the reading of a header; 5s by default.
+	ReadHeaderTimeout time.Duration
+	// IdleTimeout closes an idle caller connection; 60s by default.
+	IdleTimeout time.Duration
+	// RequestTimeout is the deadline of a request that names none; 30s by
+	// default.
+	RequestTimeout time.Duration
+	// MaxConnections bounds open caller connections; 20000 by default.
+	MaxConnections int
+	// DrainTimeout bounds a graceful shutdown; 30s by default.
+	DrainTimeout time.Duration
+	// LeaseDuration is the lease of a backend server; 3s by default.
+	LeaseDuration time.Duration
+}
+
+// Region returns the region of this process's host.
+func (s *Settings) Region() string { return s.Regions[s.Host.AvailabilityZone] }
+
+// defaultLimits returns the limits of a file that sets none.
+func defaultLimits() Limits {
+	return Limits{
+		MaxHeaderBytes:    16 << 10,
+		MaxBodyBytes:      1 << 30,
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       60 * time.Second,
+		RequestTimeout:    30 * time.Second,
+		MaxConnections:    20000,
+		DrainTimeout:      30 * time.Second,
+		LeaseDuration:     3 * time.Second,
+	}
+}
--- /dev/null
+++ b/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry holds the process's log, metrics and request identifiers.
+package telemetry
