--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 	go build -o bin/ ./cmd/tanagerbarrow ./cmd/tanagerctl
 
 demo: build ## Runs a small system with stand-in backend servers until Ctrl-C.
-	go run ./bench/cmd/demo
+	go build -o bin/demo ./bench/cmd/demo
+	bin/demo
 
 test: ## Runs every test with the race detector.
 	go test -race -timeout 8m $(TESTFLAGS) $(PACKAGES)
