Return encoded results from the replicated log

Cause: a replica that does not lead has to pass a command on to the leader and its result back, which a result of any type does not allow. Results are now bytes that the state machine encodes. Ruled out: a registry of result types.

--- a/consensus/replicator.go
+++ b/consensus/replicator.go
@@ -5,8 +5,8 @@
 // StateMachine applies committed commands in order. Apply must be
 // deterministic.
 type StateMachine interface {
-	// Apply carries out one command and returns its result.
-	Apply(command []byte) (any, error)
+	// Apply carries out one command and returns its encoded result.
+	Apply(command []byte) ([]byte, error)
 	// Snapshot returns the whole state.
 	Snapshot() ([]byte, error)
 	// Restore replaces the state by a snapshot.
@@ -15,9 +15,10 @@
 
 // Replicator orders commands and applies them on every replica.
 type Replicator interface {
-	// Propose commits a command and returns the state machine's result. An
+	// Propose commits a command and returns the state machine's encoded result,
+	// also where another replica leads. An
 	// error without [verdict.NotRun] leaves open whether the command commits.
-	Propose(ctx context.Context, command []byte) (any, error)
+	Propose(ctx context.Context, command []byte) ([]byte, error)
 	// ReadBarrier returns once the state machine holds every command that was
 	// committed before the call: a linearizable read follows it.
 	ReadBarrier(ctx context.Context) error
--- a/consensus/single.go
+++ b/consensus/single.go
@@ -93,7 +93,7 @@
 }
 
 // Propose appends the command, syncs the log and applies the command.
-func (s *Single) Propose(_ context.Context, command []byte) (any, error) {
+func (s *Single) Propose(_ context.Context, command []byte) ([]byte, error) {
 	record := make([]byte, recordHeaderBytes, recordHeaderBytes+len(command))
 	binary.LittleEndian.PutUint32(record[:4], uint32(len(command)))
 	binary.LittleEndian.PutUint64(record[4:], xxhash.Sum64(command))
--- a/control/control.go
+++ b/control/control.go
@@ -137,9 +137,7 @@
 	if err != nil {
 		return ledger.Result{}, err
 	}
-	r, ok := result.(ledger.Result)
-	if !ok {
-		return ledger.Result{}, errors.Newf("ledger returned a result of type %T", result)
-	}
-	return r, nil
+	var r ledger.Result
+	err = json.Unmarshal(result, &r)
+	return r, errors.Wrap(err, "decode ledger result")
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -89,8 +89,8 @@
 // NewMachine returns an empty ledger.
 func NewMachine() *Machine { return &Machine{claims: map[string]*claim{}} }
 
-// Apply carries out one logged command and returns its [Result].
-func (m *Machine) Apply(data []byte) (any, error) {
+// Apply carries out one logged command and returns its [Result] as JSON.
+func (m *Machine) Apply(data []byte) ([]byte, error) {
 	var c Command
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode ledger command")
@@ -99,9 +99,9 @@
 	defer m.mu.Unlock()
 	switch c.Op {
 	case OpClaim:
-		return m.claim(c), nil
+		return json.Marshal(m.claim(c))
 	case OpSettle, OpRelease:
-		return m.finish(c), nil
+		return json.Marshal(m.finish(c))
 	default:
 		return nil, errors.Newf("ledger operation %q is unknown", c.Op)
 	}
--- a/operator/api.go
+++ b/operator/api.go
@@ -151,11 +151,9 @@
 	if err != nil {
 		return state.Answer{}, errors.Wrapf(err, "commit plan %q", p.ID)
 	}
-	answer, ok := result.(state.Answer)
-	if !ok {
-		return state.Answer{}, errors.Newf("plan %q got a result of type %T", p.ID, result)
-	}
-	return answer, nil
+	var answer state.Answer
+	err = json.Unmarshal(result, &answer)
+	return answer, errors.Wrapf(err, "decode the answer to plan %q", p.ID)
 }
 
 // unavailable answers that the replicated log did not answer. The operator may
--- a/state/machine.go
+++ b/state/machine.go
@@ -103,8 +103,8 @@
 	return m.changed
 }
 
-// Apply carries out one logged command and returns its [Answer].
-func (m *Machine) Apply(data []byte) (any, error) {
+// Apply carries out one logged command and returns its [Answer] as JSON.
+func (m *Machine) Apply(data []byte) ([]byte, error) {
 	var c Command
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode command")
@@ -112,11 +112,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if first, ok := m.answers[c.ID]; ok {
-		return first, nil
+		return json.Marshal(first)
 	}
 	a := m.decide(c)
 	m.remember(c, a)
-	return a, nil
+	return json.Marshal(a)
 }
 
 // decide carries out a command that is seen for the first time.
