Let each entry vouch for its backend servers and keep leavers out

Cause: an expired record was deleted, so that a push delayed beyond the lease brought a leaver back in its generation (seen: a test that puts ready, leaving, waits 4 s and puts the old record again found the leaver in the view). Every announcement was pushed to every entry, and a lost push was made up for by the next announcement alone.

Now each entry writes registers of its own, numbered by a version, and the others hold copies; the join over all origins does not depend on the order. Leavers and ended leases stay as tombstones for 30 minutes. Announcements go to the owner by rendezvous hashing over the live entries of the zone, or are taken where they arrive. Changes are pushed; pings compare a digest and make up for lost pushes. Entries find each other dead by ping, ping through others, and suspicion; a dead entry's copies live one lease longer.

Ruled out: one record for all, merged by sequence, because a renewal would have to travel so that another origin's end of lease does not drop a live server; heartbeats from each to all, because their bytes grow with the entries.

Tests: rapid properties over order, loss and duplication, virtual time for cut, one-way cut, hour-long region cut, killed owner, stopped entry.

--- a/backend/announce.go
+++ b/backend/announce.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"crypto/subtle"
 	"net/http"
 	"strconv"
@@ -26,6 +27,9 @@
 	// LeaseMillis is how long the announcement holds, in milliseconds. A
 	// backend server announces itself again within a third of it.
 	LeaseMillis int64 `json:"lease_ms"`
+	// AnnounceTo is the admin address of the entry that holds the lease; the
+	// next announcement had best go there. Any other entry takes it too.
+	AnnounceTo string `json:"announce_to,omitempty"`
 }
 
 // Refusal answers an announcement that breaks a rule.
@@ -40,10 +44,9 @@
 	Key string
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
-	// Table receives the records.
-	Table *membership.Table
-	// Accepted is told of every record that was taken.
-	Accepted func(membership.BackendServer)
+	// Announce takes a record that breaks no rule, or returns
+	// [membership.ErrOldGeneration].
+	Announce func(context.Context, membership.BackendServer) (membership.Grant, error)
 }
 
 // Register adds the intake's route.
@@ -63,12 +66,14 @@
 	if err := b.Check(i.Regions); err != nil {
 		return c.JSON(http.StatusBadRequest, Refusal{Reason: err.Error()})
 	}
-	err := i.Table.Put(b, time.Now())
+	grant, err := i.Announce(c.Request().Context(), b)
 	if errors.Is(err, membership.ErrOldGeneration) {
 		return c.JSON(http.StatusConflict, Refusal{Reason: err.Error()})
 	}
-	i.Accepted(b)
-	return c.JSON(http.StatusOK, Granted{LeaseMillis: i.Table.Lease().Milliseconds()})
+	if err != nil {
+		return c.JSON(http.StatusServiceUnavailable, Refusal{Reason: err.Error()})
+	}
+	return c.JSON(http.StatusOK, Granted{LeaseMillis: grant.Lease.Milliseconds(), AnnounceTo: grant.Owner.Admin})
 }
 
 // remainingMillis returns the time until the deadline, in milliseconds and at
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
@@ -29,18 +28,15 @@
 	reasonZoneOut         = "availability zone out"
 )
 
-// expiryPeriod is the time between searches for ended leases.
-const expiryPeriod = 200 * time.Millisecond
-
 // Entry is one entry process.
 type Entry struct {
 	settings  *settings.Settings
 	log       zerolog.Logger
 	metrics   *telemetry.Metrics
 	ready     *platform.Readiness
-	table     *membership.Table
+	links     links
+	members   *membership.Node
 	follower  *follower
-	spreader  *spreader
 	peers     *peer.Server
 	callers   *platform.Server
 	admin     *platform.Server
@@ -53,14 +49,14 @@
 		settings: s, log: log,
 		metrics: telemetry.NewMetrics(),
 		ready:   platform.NewReadiness(reasonNoConfiguration),
-		table:   membership.NewTable(s.Limits.LeaseDuration),
+		links:   newLinks(s),
 	}
+	e.members = newNode(s, e.links)
 	controls := clients(s, s.ControlHosts)
 	e.follower = newFollower(s, controls, log)
 	e.follower.applied = e.configurationApplied
-	e.spreader = newSpreader(clients(s, s.EntryHosts), log)
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
-	e.peers.Handle(peer.MethodMembers, peer.Typed(e.members))
+	handleMembership(e.peers, e.members)
 	return e, e.listen(controls)
 }
 
@@ -82,7 +78,7 @@
 	front := &caller.Front{
 		Configuration: e.follower.current,
 		Dispatcher: &dispatch.Dispatcher{
-			Members:       e.table.View,
+			Members:       e.members.Table().View,
 			Configuration: e.follower.current,
 			Regions:       e.settings.Regions,
 			Exchanger:     backend.NewExchanger(),
@@ -106,7 +102,7 @@
 	routes := platform.NewEcho()
 	intake := &backend.Intake{
 		Key: e.settings.Access.AnnounceKey, Regions: e.settings.Regions,
-		Table: e.table, Accepted: e.spreader.push,
+		Announce: e.members.Announce,
 	}
 	intake.Register(routes)
 	e.ready.Register(routes)
@@ -126,8 +122,7 @@
 	g.Go(e.admin.Serve)
 	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
 	g.Go(func() error { return e.follower.run(work) })
-	g.Go(func() error { return e.spreader.run(work) })
-	g.Go(func() error { return e.expire(work) })
+	g.Go(func() error { return e.members.Run(work) })
 	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
 	<-ctx.Done()
 	err := e.shutdown()
@@ -142,38 +137,11 @@
 	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.peerLinks.Close())
 	e.peers.Close()
+	e.links.close()
 	e.log.Info().Err(err).Msg("entry stopped")
 	return err
 }
 
-// expire drops ended leases.
-func (e *Entry) expire(ctx context.Context) error {
-	tick := time.NewTicker(expiryPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			e.table.Expire(now)
-		}
-	}
-}
-
-// members takes records of another entry in.
-func (e *Entry) members(_ context.Context, m peer.Members) (peer.Empty, error) {
-	now := time.Now()
-	for _, b := range m.Servers {
-		if err := b.Check(e.settings.Regions); err != nil {
-			return peer.Empty{}, err
-		}
-		if err := e.table.Put(b, now); err != nil && !errors.Is(err, membership.ErrOldGeneration) {
-			return peer.Empty{}, err
-		}
-	}
-	return peer.Empty{}, nil
-}
-
 // homeEntries returns the peer addresses' hosts of entries in the regions.
 func (e *Entry) homeEntries(regions []string) []string {
 	var found []string
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -4,86 +4,60 @@
 	"context"
 	"time"
 
-	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
+	"github.com/cockroachdb/errors"
 
 	"tanagerbarrow/membership"
 	"tanagerbarrow/peer"
+	"tanagerbarrow/settings"
 )
 
-// The spreading of announcements to other entries.
-const (
-	spreadQueueCapacity = 1024
-	spreadTimeout       = time.Second
-)
-
-// spreader passes announcements on to every other entry, one goroutine and one
-// queue for each. A full queue drops the record; the backend server's next
-// announcement replaces it.
-type spreader struct {
-	log   zerolog.Logger
-	links []spreadLink
-}
-
-// spreadLink is the queue of one other entry.
-type spreadLink struct {
-	client *peer.Client
-	queue  chan membership.BackendServer
-}
+// links reaches the other entries for package membership.
+type links map[string]*peer.Client
 
-// newSpreader returns a spreader to the given entries.
-func newSpreader(others []*peer.Client, log zerolog.Logger) *spreader {
-	s := &spreader{log: log}
-	for _, c := range others {
-		s.links = append(s.links, spreadLink{client: c, queue: make(chan membership.BackendServer, spreadQueueCapacity)})
+// newLinks returns a client for each other entry.
+func newLinks(s *settings.Settings) links {
+	l := links{}
+	for _, c := range clients(s, s.EntryHosts) {
+		l[c.Peer().Name] = c
 	}
-	return s
+	return l
 }
 
-// push queues a record for every other entry without waiting.
-func (s *spreader) push(b membership.BackendServer) {
-	for _, l := range s.links {
-		select {
-		case l.queue <- b:
-		default:
-		}
+// Call calls a method of another entry.
+func (l links) Call(ctx context.Context, host, method string, params, result any) error {
+	c, ok := l[host]
+	if !ok {
+		return errors.Newf("host %q is not an entry host", host)
 	}
+	return c.Call(ctx, method, params, result)
 }
 
-// run passes records on until ctx ends.
-func (s *spreader) run(ctx context.Context) error {
-	var g errgroup.Group
-	for _, l := range s.links {
-		g.Go(func() error {
-			s.serve(ctx, l)
-			return nil
-		})
+// close closes every connection.
+func (l links) close() {
+	for _, c := range l {
+		c.Close()
 	}
-	return g.Wait()
 }
 
-// serve passes the records of one queue on.
-func (s *spreader) serve(ctx context.Context, l spreadLink) {
-	for {
-		select {
-		case <-ctx.Done():
-			l.client.Close()
-			return
-		case b := <-l.queue:
-			s.send(ctx, l, b)
-		}
+// newNode returns this entry's part in the membership.
+func newNode(s *settings.Settings, l links) *membership.Node {
+	epoch := uint64(time.Now().UnixMilli())
+	self := membership.HostState{Host: s.Host.Name, Epoch: epoch, Admin: s.Entry.AdminListen.String()}
+	var places []membership.Host
+	for _, h := range s.EntryHosts {
+		places = append(places, membership.Host{
+			Name: h.Name, AvailabilityZone: h.AvailabilityZone, Region: s.Regions[h.AvailabilityZone],
+		})
 	}
+	table := membership.NewTable(membership.Origin{Host: s.Host.Name, Epoch: epoch}, s.Limits.LeaseDuration)
+	return membership.NewNode(table, membership.NewHosts(self, places), places, s.Regions, l)
 }
 
-// send passes one record and all that wait behind it on.
-func (s *spreader) send(ctx context.Context, l spreadLink, first membership.BackendServer) {
-	batch := []membership.BackendServer{first}
-	for range len(l.queue) {
-		batch = append(batch, <-l.queue)
-	}
-	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
-	defer cancel()
-	if err := l.client.Call(ctx, peer.MethodMembers, peer.Members{Servers: batch}, &peer.Empty{}); err != nil {
-		s.log.Debug().Err(err).Msg("spread failed")
-	}
+// handleMembership registers the node's methods.
+func handleMembership(p *peer.Server, n *membership.Node) {
+	p.Handle(membership.MethodPing, peer.Typed(n.ServePing))
+	p.Handle(membership.MethodProbe, peer.Typed(n.ServeProbe))
+	p.Handle(membership.MethodSync, peer.Typed(n.ServeSync))
+	p.Handle(membership.MethodPush, peer.Typed(n.ServePush))
+	p.Handle(membership.MethodTake, peer.Typed(n.ServeTake))
 }
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -1,6 +1,12 @@
-// Package membership knows the backend servers: who announced itself, in which
-// generation and state, and until when its lease lasts.
+// Package membership knows the backend servers and the entry hosts.
 //
-// A record of an older generation never replaces one of a newer generation,
-// and a backend server that leaves stays gone for its generation.
+// Each entry vouches for the backend servers whose announcements it took. It
+// alone writes its own registers, numbered by a version, and all others hold
+// copies; a [Table] joins the registers of all entries. The join is the same
+// in whatever order copies arrive: the newest generation wins, and a backend
+// server that left stays gone for its generation.
+//
+// [Hosts] decides which entries are alive, from probes and from what other
+// entries say. A [Node] carries both between entries: changes are pushed, and
+// each probe compares a digest, so that a lost push is made up for.
 package membership
--- /dev/null
+++ b/membership/fake_test.go
@@ -0,0 +1,220 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// linkDelay is the one-way latency of the fake network.
+const linkDelay = time.Millisecond
+
+// fakeNetwork joins nodes in one synctest bubble.
+type fakeNetwork struct {
+	t     *testing.T
+	nodes map[string]*Node
+	stops map[string]context.CancelFunc
+	wg    sync.WaitGroup
+
+	mu  sync.Mutex
+	cut map[[2]string]bool
+}
+
+// fakeLink is one node's end of the network.
+type fakeLink struct {
+	network *fakeNetwork
+	self    string
+}
+
+// testRegions maps the availability zones of the fake network.
+var testRegions = map[string]string{"a": "north", "b": "north", "c": "south", "d": "south"}
+
+// newNetwork starts n nodes, spread over the four availability zones.
+func newNetwork(t *testing.T, n int) *fakeNetwork {
+	f := &fakeNetwork{t: t, nodes: map[string]*Node{}, stops: map[string]context.CancelFunc{}, cut: map[[2]string]bool{}}
+	for i := range n {
+		f.start(n, i, 1)
+	}
+	return f
+}
+
+// start starts node i of n with the epoch.
+func (f *fakeNetwork) start(n, i int, epoch uint64) {
+	var places []Host
+	for j := range n {
+		zone := string(rune('a' + j%4))
+		places = append(places, Host{Name: fmt.Sprintf("e%d", j), AvailabilityZone: zone, Region: testRegions[zone]})
+	}
+	name := places[i].Name
+	hosts := NewHosts(HostState{Host: name, Epoch: epoch, Admin: name + ":7200"}, places)
+	table := NewTable(Origin{Host: name, Epoch: epoch}, testLease)
+	node := NewNode(table, hosts, places, testRegions, fakeLink{f, name})
+	ctx, stop := context.WithCancel(context.Background())
+	f.mu.Lock()
+	f.nodes[name], f.stops[name] = node, stop
+	f.mu.Unlock()
+	f.wg.Go(func() { _ = node.Run(ctx) })
+}
+
+// stop ends all nodes.
+func (f *fakeNetwork) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.wg.Wait()
+}
+
+// kill ends one node at once.
+func (f *fakeNetwork) kill(name string) {
+	f.stops[name]()
+	f.mu.Lock()
+	delete(f.nodes, name)
+	f.mu.Unlock()
+}
+
+// set cuts or mends the way from one host to another.
+func (f *fakeNetwork) set(from, to string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{from, to}] = cut
+}
+
+// isolate cuts or mends all ways between two groups.
+func (f *fakeNetwork) isolate(group, rest []string, cut bool) {
+	for _, a := range group {
+		for _, b := range rest {
+			f.set(a, b, cut)
+			f.set(b, a, cut)
+		}
+	}
+}
+
+// way returns the node at the end of a way, or nil if it is cut.
+func (f *fakeNetwork) way(from, to string) *Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut[[2]string{from, to}] {
+		return nil
+	}
+	return f.nodes[to]
+}
+
+// Call delivers the call and its answer unless a way is cut; a lost message
+// shows as silence. A cut way back loses the answer of a call that was served.
+func (l fakeLink) Call(ctx context.Context, host, method string, params, result any) error {
+	time.Sleep(linkDelay)
+	node := l.network.way(l.self, host)
+	if node == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := serveFake(ctx, node, method, raw)
+	if err != nil {
+		return err
+	}
+	time.Sleep(linkDelay)
+	if l.network.way(host, l.self) == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return json.Unmarshal(answer, result)
+}
+
+// serveFake lets a node answer.
+func serveFake(ctx context.Context, n *Node, method string, raw []byte) ([]byte, error) {
+	switch method {
+	case MethodPing:
+		return answerFake(ctx, raw, n.ServePing)
+	case MethodProbe:
+		return answerFake(ctx, raw, n.ServeProbe)
+	case MethodSync:
+		return answerFake(ctx, raw, n.ServeSync)
+	case MethodPush:
+		return answerFake(ctx, raw, n.ServePush)
+	case MethodTake:
+		return answerFake(ctx, raw, n.ServeTake)
+	}
+	return nil, errors.Newf("unknown method %s", method)
+}
+
+// answerFake decodes the parameters and encodes the answer.
+func answerFake[P, R any](ctx context.Context, raw []byte, f func(context.Context, P) (R, error)) ([]byte, error) {
+	var p P
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, err
+	}
+	r, err := f(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(r)
+}
+
+// announcer keeps announcing one backend server to the entries in turn.
+type announcer struct {
+	b    BackendServer
+	to   []string
+	stop context.CancelFunc
+}
+
+// announce starts an announcer of a backend server in the zone.
+func (f *fakeNetwork) announce(port uint16, zone string, to ...string) *announcer {
+	b := record(1, 0, Ready)
+	b.Address, b.AvailabilityZone = netip.AddrPortFrom(testAddress.Addr(), port), zone
+	ctx, stop := context.WithCancel(context.Background())
+	a := &announcer{b: b, to: to, stop: stop}
+	f.wg.Go(func() {
+		for ctx.Err() == nil {
+			a.b.Sequence++
+			wait := 100 * time.Millisecond
+			if node := f.way("caller", to[int(a.b.Sequence)%len(to)]); node != nil {
+				if grant, err := node.Announce(ctx, a.b); err == nil {
+					wait = grant.Lease / announcesPerLease
+				}
+			}
+			sleep(ctx, wait)
+		}
+	})
+	return a
+}
+
+// seen returns how many backend servers the entry may use.
+func (f *fakeNetwork) seen(name string) int { return len(f.nodes[name].Table().View().Services["s"]) }
+
+// inBubble runs a test with a network in virtual time.
+func inBubble(t *testing.T, nodes int, test func(t *testing.T, f *fakeNetwork)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newNetwork(t, nodes)
+		defer f.stop()
+		test(t, f)
+	})
+}
+
+// wantLive checks who counts as live on a node.
+func (f *fakeNetwork) wantLive(on string, want int) {
+	f.t.Helper()
+	if got := f.nodes[on].Hosts().Live(); len(got) != want {
+		f.t.Errorf("%s counts %d hosts as live, want %d: %v", on, len(got), want, got)
+	}
+}
+
+// wantSeen checks how many backend servers every node may use.
+func (f *fakeNetwork) wantSeen(when string, want int) {
+	f.t.Helper()
+	for name := range f.nodes {
+		if got := f.seen(name); got != want {
+			f.t.Errorf("%s: %s sees %d backend servers, want %d", when, name, got, want)
+		}
+	}
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -1,9 +1,9 @@
 package membership
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,83 +11,28 @@
 	"github.com/cockroachdb/errors"
 )
 
-// State is what a backend server says of itself.
-type State string
-
-// The states of a backend server.
+// The times of records.
 const (
-	// Cold means started, with little capacity as yet.
-	Cold State = "cold"
-	// Ready means able to use all slots.
-	Ready State = "ready"
-	// Leaving means that no new work may come; it is final for a generation.
-	Leaving State = "leaving"
+	// tombstoneLife is how long the record of a backend server that is gone
+	// keeps older records out. It exceeds every delay of a message and the
+	// longest lease.
+	tombstoneLife = 30 * time.Minute
+	// leaseMargin is how much longer than its lease a copy lives once its origin
+	// is lost.
+	leaseMargin = time.Second
+	// pauseThreshold is the gap between two calls of Tick from which on the
+	// process counts as having been paused.
+	pauseThreshold = time.Second
 )
 
-// stateOrder ranks the states within a generation; a later one wins.
-var stateOrder = map[State]int{Cold: 1, Ready: 2, Leaving: 3}
-
-// BackendServer is what the system knows of one backend server.
-type BackendServer struct {
-	// Service is the service that the backend server belongs to.
-	Service string `json:"service"`
-	// Address is where it serves requests over HTTP.
-	Address netip.AddrPort `json:"address"`
-	// AvailabilityZone is where it stands.
-	AvailabilityZone string `json:"availability_zone"`
-	// Slots is how many requests it works on at once.
-	Slots int `json:"slots"`
-	// Generation grows with every start of the backend server.
-	Generation uint64 `json:"generation"`
-	// State is cold, ready or leaving.
-	State State `json:"state"`
-	// Sequence orders announcements within a generation.
-	Sequence uint64 `json:"sequence"`
-}
-
-// newer reports whether b replaces old.
-func (b *BackendServer) newer(old *BackendServer) bool {
-	if b.Generation != old.Generation {
-		return b.Generation > old.Generation
-	}
-	if old.State == Leaving {
-		return false
-	}
-	if b.State == Leaving {
-		return true
-	}
-	return b.Sequence > old.Sequence
-}
-
-// Check returns an error if the record breaks a rule. regions maps each
-// availability zone to its region.
-func (b *BackendServer) Check(regions map[string]string) error {
-	switch {
-	case b.Service == "":
-		return errors.New("announcement names no service")
-	case !b.Address.IsValid() || b.Address.Port() == 0:
-		return errors.Newf("announcement of service %q has no IP address with a port", b.Service)
-	case b.Slots < 1:
-		return errors.Newf("backend server %s announces %d slots, at least 1 is needed", b.Address, b.Slots)
-	case b.Generation == 0:
-		return errors.Newf("backend server %s announces no generation", b.Address)
-	case stateOrder[b.State] == 0:
-		return errors.Newf("backend server %s announces unknown state %q", b.Address, b.State)
-	}
-	if _, ok := regions[b.AvailabilityZone]; !ok {
-		return errors.Newf("backend server %s announces unknown availability zone %q", b.Address, b.AvailabilityZone)
-	}
-	return nil
-}
-
-// ErrOldGeneration marks an announcement that a newer record overrides.
-var ErrOldGeneration = errors.New("a newer record exists")
-
-// record is a backend server with the end of its lease.
-type record struct {
-	server  BackendServer
-	expires time.Time
-}
+// The growth of leases: an entry takes about maxAnnouncements announcements a
+// second, and backend servers announce themselves within a third of a lease.
+const (
+	maxAnnouncements    = 3
+	announcesPerLease   = 3
+	maxLeaseDoublings   = 8
+	initialTableEntries = 64
+)
 
 // View is an immutable picture of the backend servers, grouped by service.
 type View struct {
@@ -96,87 +41,215 @@
 	Services map[string][]BackendServer
 }
 
-// Table holds the records of one entry process.
+// Table holds what all origins say, for one entry process.
 type Table struct {
-	lease time.Duration
+	self Origin
+	base time.Duration
+
+	mu       sync.Mutex
+	version  uint64
+	owned    int
+	lastTick time.Time
+	servers  map[netip.AddrPort]*address
+	origins  map[Origin]*originState
+	view     atomic.Pointer[View]
+}
 
-	mu      sync.Mutex
-	records map[netip.AddrPort]record
-	view    atomic.Pointer[View]
+// address is what the table knows of one address.
+type address struct {
+	registers registers
+	published BackendServer
 }
 
-// NewTable returns an empty table that grants leases of the given length.
-func NewTable(lease time.Duration) *Table {
-	t := &Table{lease: lease, records: map[netip.AddrPort]record{}}
-	t.view.Store(&View{Services: map[string][]BackendServer{}})
+// originState is what the table knows of another origin.
+type originState struct {
+	// version is the last change up to which all changes came in.
+	version uint64
+	// lost is when the origin was found dead; it is zero while it lives.
+	lost time.Time
+	// dropped says that copies were given up, so that all must come in again
+	// should the origin return.
+	dropped bool
+}
+
+// NewTable returns an empty table of the origin. Leases last at least base.
+func NewTable(self Origin, base time.Duration) *Table {
+	t := &Table{self: self, base: base}
+	t.clear()
 	return t
 }
 
+// clear forgets everything; the caller holds the lock.
+func (t *Table) clear() {
+	t.servers = make(map[netip.AddrPort]*address, initialTableEntries)
+	t.origins = map[Origin]*originState{}
+	t.owned = 0
+	t.view.Store(&View{Services: map[string][]BackendServer{}})
+}
+
 // View returns the current picture. It takes no lock.
 func (t *Table) View() *View { return t.view.Load() }
 
-// Lease returns how long a record lives without a new announcement.
-func (t *Table) Lease() time.Duration { return t.lease }
+// Self returns the origin whose table this is.
+func (t *Table) Self() Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// lease returns the lease to grant. It doubles as the number of own backend
+// servers grows, so that the rate of announcements stays bounded.
+func (t *Table) lease() time.Duration {
+	lease := t.base
+	for range maxLeaseDoublings {
+		perSecond := float64(t.owned) * announcesPerLease / lease.Seconds()
+		if perSecond <= maxAnnouncements {
+			break
+		}
+		lease *= 2
+	}
+	return lease
+}
 
-// Put takes a record in and renews its lease. It returns [ErrOldGeneration]
-// if the table holds a newer one.
-func (t *Table) Put(b BackendServer, now time.Time) error {
+// Check returns [ErrOldGeneration] if something newer than the announcement is
+// known.
+func (t *Table) Check(b BackendServer) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old, ok := t.records[b.Address]
-	if ok && !b.newer(&old.server) {
-		return errors.Wrapf(ErrOldGeneration, "backend server %s generation %d", b.Address, b.Generation)
+	return t.check(b)
+}
+
+// check is Check; the caller holds the lock.
+func (t *Table) check(b BackendServer) error {
+	a := t.servers[b.Address]
+	if a == nil {
+		return nil
 	}
-	t.records[b.Address] = record{server: b, expires: now.Add(t.lease)}
-	if !ok || old.server.Slots != b.Slots || old.server.State != b.State ||
-		old.server.Generation != b.Generation || old.server.Service != b.Service ||
-		old.server.AvailabilityZone != b.AvailabilityZone {
-		t.publish(now)
+	generation, sequence, left := a.registers.newest()
+	switch {
+	case b.Generation < generation:
+		return errors.Wrapf(ErrOldGeneration, "backend server %s announces generation %d after %d",
+			b.Address, b.Generation, generation)
+	case b.Generation > generation || b.State == Leaving:
+		return nil
+	case left:
+		return errors.Wrapf(ErrOldGeneration, "backend server %s left in generation %d", b.Address, generation)
+	case b.Sequence <= sequence:
+		return errors.Wrapf(ErrOldGeneration, "backend server %s announces sequence %d after %d in generation %d",
+			b.Address, b.Sequence, sequence, generation)
 	}
 	return nil
 }
 
-// Expire drops backend servers whose lease has ended.
-func (t *Table) Expire(now time.Time) {
+// Put takes an announcement into the own registers and renews its lease. It
+// returns the lease, or [ErrOldGeneration] if something newer is known.
+func (t *Table) Put(b BackendServer, now time.Time) (time.Duration, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
-	for address, r := range t.records {
-		if now.After(r.expires) {
-			delete(t.records, address)
-			changed = true
-		}
-	}
-	if changed {
-		t.publish(now)
+	if err := t.check(b); err != nil {
+		return 0, err
 	}
+	return t.vouch(b, now), nil
 }
 
-// All returns every record.
-func (t *Table) All() []BackendServer {
+// Adopt takes a backend server over from an origin that stops. Its record is
+// the last one that the origin got.
+func (t *Table) Adopt(b BackendServer, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make([]BackendServer, 0, len(t.records))
-	for _, r := range t.records {
-		all = append(all, r.server)
+	a := t.servers[b.Address]
+	if a != nil {
+		generation, sequence, left := a.registers.newest()
+		if left || b.Generation != generation || b.Sequence < sequence {
+			return
+		}
 	}
-	slices.SortFunc(all, func(a, b BackendServer) int { return a.Address.Compare(b.Address) })
-	return all
+	t.vouch(b, now)
 }
 
-// publish makes a new view; the caller holds the lock.
-func (t *Table) publish(now time.Time) {
-	services := map[string][]BackendServer{}
-	for _, r := range t.records {
-		if r.server.State == Leaving || now.After(r.expires) {
-			continue
-		}
-		services[r.server.Service] = append(services[r.server.Service], r.server)
+// vouch writes the own register of a backend server; the caller holds the lock.
+func (t *Table) vouch(b BackendServer, now time.Time) time.Duration {
+	old := t.held(b.Address, t.self)
+	lease := t.lease()
+	r := Register{Server: b, LeaseMillis: lease.Milliseconds()}
+	if old != nil && !old.Ended && old.LeaseMillis == r.LeaseMillis && sameService(old.Server, b) {
+		old.sequence = b.Sequence
+		old.expires = now.Add(lease)
+		return lease
 	}
-	for _, servers := range services {
-		slices.SortFunc(servers, func(a, b BackendServer) int {
-			return strings.Compare(a.Address.String(), b.Address.String())
-		})
+	t.write(r, now)
+	return lease
+}
+
+// write stamps an own register with the next version; the caller holds the
+// lock.
+func (t *Table) write(r Register, now time.Time) {
+	t.version++
+	r.Version = t.version
+	t.store(t.self, r, now)
+	t.publish(r.Server.Address)
+}
+
+// store puts a register in place; the caller holds the lock.
+func (t *Table) store(o Origin, r Register, now time.Time) {
+	a := t.servers[r.Server.Address]
+	if a == nil {
+		a = &address{registers: registers{}}
+		t.servers[r.Server.Address] = a
+	}
+	next := &heldRegister{Register: r, sequence: r.Server.Sequence, learned: now, expires: now.Add(r.lease())}
+	if o == t.self {
+		t.owned += next.live() - a.registers[o].live()
+	}
+	a.registers[o] = next
+}
+
+// held returns the register of the origin, or nil; the caller holds the lock.
+func (t *Table) held(at netip.AddrPort, o Origin) *heldRegister {
+	if a := t.servers[at]; a != nil {
+		return a.registers[o]
+	}
+	return nil
+}
+
+// publish updates the view of one address; the caller holds the lock.
+func (t *Table) publish(at netip.AddrPort) {
+	a := t.servers[at]
+	next, _ := a.registers.join()
+	before := a.published
+	if next == before {
+		return
+	}
+	a.published = next
+	services := maps.Clone(t.view.Load().Services)
+	if before.Service != "" {
+		removeServer(services, before)
+	}
+	if next.Service != "" {
+		insertServer(services, next)
 	}
 	t.view.Store(&View{Services: services})
 }
+
+// compareAddress orders a backend server against an address.
+func compareAddress(b BackendServer, at netip.AddrPort) int { return b.Address.Compare(at) }
+
+// removeServer takes a backend server out of a copy of its service's list.
+func removeServer(services map[string][]BackendServer, b BackendServer) {
+	list := slices.Clone(services[b.Service])
+	if i, ok := slices.BinarySearchFunc(list, b.Address, compareAddress); ok {
+		list = slices.Delete(list, i, i+1)
+	}
+	if len(list) == 0 {
+		delete(services, b.Service)
+		return
+	}
+	services[b.Service] = list
+}
+
+// insertServer puts a backend server into a copy of its service's list.
+func insertServer(services map[string][]BackendServer, b BackendServer) {
+	list := services[b.Service]
+	i, _ := slices.BinarySearchFunc(list, b.Address, compareAddress)
+	services[b.Service] = slices.Insert(slices.Clone(list), i, b)
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"tanagerbarrow/ledger"
-	"tanagerbarrow/membership"
 	"tanagerbarrow/state"
 )
 
@@ -14,8 +13,6 @@
 	MethodWatch = "configuration.watch"
 	// MethodLedger carries out a ledger command.
 	MethodLedger = "ledger.apply"
-	// MethodMembers tells another entry of backend servers.
-	MethodMembers = "membership.push"
 )
 
 // Hello presents a process to its peer.
@@ -40,12 +37,6 @@
 	Configuration *state.Configuration `json:"configuration,omitempty"`
 }
 
-// Members tells of backend servers.
-type Members struct {
-	// Servers are the records of the telling host.
-	Servers []membership.BackendServer `json:"servers"`
-}
-
 // LedgerCommand is a ledger command on its way to the voters.
 type LedgerCommand struct {
 	// Command is what to do.
