Tell the longest lease once for each origin

Cause: the lease stood in each register, and it grows with the number of backend servers, so that each growth sent every register again: at 1,000 backend servers and 18 entries 13,701 B/s for each entry (both ways).

Now a delta carries the longest lease of its origin, and copies of a lost origin live that long.

Ruled out: not letting leases grow, because the announcements alone would then cost about 700 B for each backend server each second.

--- a/membership/expire.go
+++ b/membership/expire.go
@@ -55,7 +55,7 @@
 		if r := a.registers[old]; r != nil {
 			delete(a.registers, old)
 			t.owned -= r.live()
-			t.write(r.Register, now)
+			t.write(r.Register, now).expires = r.expires
 		}
 	}
 }
@@ -89,7 +89,7 @@
 			if now.After(r.expires) {
 				t.end(r, now)
 			}
-		case t.givenUp(o, r, now):
+		case t.givenUp(o, now):
 			delete(a.registers, o)
 			t.origins[o].dropped = true
 			changed = true
@@ -103,10 +103,10 @@
 	}
 }
 
-// givenUp reports whether the copy of a lost origin's register has ended.
-func (t *Table) givenUp(o Origin, r *heldRegister, now time.Time) bool {
+// givenUp reports whether the copies of a lost origin's registers have ended.
+func (t *Table) givenUp(o Origin, now time.Time) bool {
 	s := t.origins[o]
-	return s != nil && !s.lost.IsZero() && now.Sub(s.lost) > r.lease()+leaseMargin
+	return s != nil && !s.lost.IsZero() && now.Sub(s.lost) > s.lease+leaseMargin
 }
 
 // end stops vouching for a backend server.
--- a/membership/node.go
+++ b/membership/node.go
@@ -163,7 +163,7 @@
 		var d Delta
 		d, more = n.table.Own(acked.Version)
 		p := Push{Hosts: states}
-		if len(d.Registers) > 0 {
+		if d.To > d.From {
 			p.Deltas = []Delta{d}
 		}
 		if len(p.Hosts)+len(p.Deltas) == 0 || n.call(ctx, l.host, MethodPush, p, &Pushed{}) != nil {
--- a/membership/register.go
+++ b/membership/register.go
@@ -29,13 +29,8 @@
 	Ended bool `json:"ended,omitempty"`
 	// Version orders all changes of the origin.
 	Version uint64 `json:"version"`
-	// LeaseMillis is the length of the lease, in milliseconds.
-	LeaseMillis int64 `json:"lease_ms"`
 }
 
-// lease returns the length of the lease.
-func (r *Register) lease() time.Duration { return time.Duration(r.LeaseMillis) * time.Millisecond }
-
 // tombstone reports whether the register only keeps older records out.
 func (r *Register) tombstone() bool { return r.Ended || r.Server.State == Leaving }
 
--- a/membership/replicate.go
+++ b/membership/replicate.go
@@ -28,6 +28,8 @@
 	// From and To bound the versions; From itself is left out.
 	From uint64 `json:"from"`
 	To   uint64 `json:"to"`
+	// LeaseMillis is the longest lease that the origin grants, in milliseconds.
+	LeaseMillis int64 `json:"lease_ms"`
 	// Registers are those with a version in the bounds that still stand.
 	Registers []Register `json:"registers"`
 }
@@ -113,7 +115,11 @@
 // delta returns the changes of one origin after a version up to another; the
 // caller holds the lock.
 func (t *Table) delta(o Origin, after, to uint64) (d Delta, more bool) {
-	d = Delta{Origin: o, From: after, To: to}
+	lease := t.longest
+	if s := t.origins[o]; s != nil {
+		lease = s.lease
+	}
+	d = Delta{Origin: o, From: after, To: to, LeaseMillis: lease.Milliseconds()}
 	for _, a := range t.servers {
 		if r := a.registers[o]; r != nil && r.Version > after && r.Version <= to {
 			d.Registers = append(d.Registers, r.Register)
@@ -150,6 +156,7 @@
 	for _, r := range d.Registers {
 		t.applyRegister(d.Origin, r, now)
 	}
+	s.lease = max(s.lease, time.Duration(d.LeaseMillis)*time.Millisecond)
 	if d.From <= s.version {
 		s.version = max(s.version, d.To)
 	}
@@ -186,7 +193,7 @@
 	case mine.Sequence <= theirs.Sequence && theirs.Sequence < own.sequence:
 		renewed := own.Register
 		renewed.Server.Sequence = own.sequence
-		t.write(renewed, now)
+		t.write(renewed, now).expires = own.expires
 	}
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -46,9 +46,13 @@
 	self Origin
 	base time.Duration
 
-	mu       sync.Mutex
-	version  uint64
-	owned    int
+	mu      sync.Mutex
+	version uint64
+	owned   int
+	// doublings is how often the granted lease was doubled.
+	doublings int
+	// longest is the longest lease granted so far; others learn it.
+	longest  time.Duration
 	lastTick time.Time
 	servers  map[netip.AddrPort]*address
 	origins  map[Origin]*originState
@@ -67,6 +71,8 @@
 	version uint64
 	// lost is when the origin was found dead; it is zero while it lives.
 	lost time.Time
+	// lease is the longest lease that the origin grants.
+	lease time.Duration
 	// dropped says that copies were given up, so that all must come in again
 	// should the origin return.
 	dropped bool
@@ -83,7 +89,7 @@
 func (t *Table) clear() {
 	t.servers = make(map[netip.AddrPort]*address, initialTableEntries)
 	t.origins = map[Origin]*originState{}
-	t.owned = 0
+	t.owned, t.doublings, t.longest = 0, 0, 0
 	t.view.Store(&View{Services: map[string][]BackendServer{}})
 }
 
@@ -98,15 +104,22 @@
 }
 
 // lease returns the lease to grant. It doubles as the number of own backend
-// servers grows, so that the rate of announcements stays bounded.
+// servers grows, so that the rate of announcements stays bounded, and halves
+// again only once that number is far smaller.
 func (t *Table) lease() time.Duration {
-	lease := t.base
-	for range maxLeaseDoublings {
-		perSecond := float64(t.owned) * announcesPerLease / lease.Seconds()
-		if perSecond <= maxAnnouncements {
-			break
-		}
-		lease *= 2
+	perSecond := func(doublings int) float64 {
+		return float64(t.owned) * announcesPerLease / (t.base << doublings).Seconds()
+	}
+	for t.doublings < maxLeaseDoublings && perSecond(t.doublings) > maxAnnouncements {
+		t.doublings++
+	}
+	for t.doublings > 0 && perSecond(t.doublings-1) < maxAnnouncements/2.0 {
+		t.doublings--
+	}
+	lease := t.base << t.doublings
+	if lease > t.longest {
+		t.longest = lease
+		t.version++
 	}
 	return lease
 }
@@ -171,37 +184,37 @@
 func (t *Table) vouch(b BackendServer, now time.Time) time.Duration {
 	old := t.held(b.Address, t.self)
 	lease := t.lease()
-	r := Register{Server: b, LeaseMillis: lease.Milliseconds()}
-	if old != nil && !old.Ended && old.LeaseMillis == r.LeaseMillis && sameService(old.Server, b) {
-		old.sequence = b.Sequence
-		old.expires = now.Add(lease)
-		return lease
+	if old == nil || old.Ended || !sameService(old.Server, b) {
+		old = t.write(Register{Server: b}, now)
 	}
-	t.write(r, now)
+	old.sequence = b.Sequence
+	old.expires = now.Add(lease)
 	return lease
 }
 
 // write stamps an own register with the next version; the caller holds the
-// lock.
-func (t *Table) write(r Register, now time.Time) {
+// lock. The register starts with no lease left.
+func (t *Table) write(r Register, now time.Time) *heldRegister {
 	t.version++
 	r.Version = t.version
-	t.store(t.self, r, now)
+	held := t.store(t.self, r, now)
 	t.publish(r.Server.Address)
+	return held
 }
 
 // store puts a register in place; the caller holds the lock.
-func (t *Table) store(o Origin, r Register, now time.Time) {
+func (t *Table) store(o Origin, r Register, now time.Time) *heldRegister {
 	a := t.servers[r.Server.Address]
 	if a == nil {
 		a = &address{registers: registers{}}
 		t.servers[r.Server.Address] = a
 	}
-	next := &heldRegister{Register: r, sequence: r.Server.Sequence, learned: now, expires: now.Add(r.lease())}
+	next := &heldRegister{Register: r, sequence: r.Server.Sequence, learned: now, expires: now}
 	if o == t.self {
 		t.owned += next.live() - a.registers[o].live()
 	}
 	a.registers[o] = next
+	return next
 }
 
 // held returns the register of the origin, or nil; the caller holds the lock.
