Measure how the cost of each role grows with size

make capacity builds each part at several sizes in one process and prints the slopes of memory, message bytes and processor time.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,11 @@
 
 bin/golangci-lint: tools/go.mod
 	cd tools && GOWORK=off go build -mod=mod -o ../bin/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+.PHONY: bench capacity
+bench: build ## Runs both deployments under load and faults; writes bench-report/.
+	go build -o bin/experiment ./bench/cmd/experiment
+	bin/experiment
+
+capacity: ## Prints how the cost of each role grows with size.
+	go run ./bench/cmd/capacity
--- /dev/null
+++ b/bench/capacity/parts.go
@@ -0,0 +1,150 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"tanagerbarrow/ledger"
+	"tanagerbarrow/membership"
+	"tanagerbarrow/state"
+)
+
+// The sizes of the letter.
+const (
+	targetServers  = 6200
+	targetServices = 320
+	targetChanges  = 6700
+	targetClaims   = 200_000
+)
+
+// zones is the number of availability zones in the letter.
+const zones = 25
+
+// answerBytes is the size of a stored answer in the measured ledger.
+const answerBytes = 200
+
+// repeats is how often an operation is timed.
+const repeats = 200
+
+// Parts returns every part that is measured.
+func Parts() []Part {
+	return []Part{
+		{
+			Name: "membership table of an entry", Unit: "servers", Operation: "one changed record",
+			Sizes: []int{10, 100, 1000, targetServers}, Target: targetServers, Measure: measureTable,
+		},
+		{
+			Name: "configuration of an entry", Unit: "services", Operation: "decode one full copy",
+			Sizes: []int{10, 100, targetServices}, Target: targetServices, Measure: measureConfiguration,
+		},
+		{
+			Name: "configuration state machine of a control host", Unit: "changes", Operation: "apply one change",
+			Sizes: []int{100, 1000, targetChanges}, Target: targetChanges, Measure: measureMachine,
+		},
+		{
+			Name: "ledger state machine of a control host", Unit: "claims", Operation: "apply one claim",
+			Sizes: []int{1000, 10_000, 50_000}, Target: targetClaims, Measure: measureLedger,
+		},
+	}
+}
+
+// server returns the i-th backend server of the measured system.
+func server(i int) membership.BackendServer {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080)
+	return membership.BackendServer{
+		Service: fmt.Sprintf("service-%d", i%targetServices), Address: address,
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%zones), Slots: 2,
+		Generation: 1, State: membership.Ready, Sequence: 1,
+	}
+}
+
+// measureTable measures the table of backend servers.
+func measureTable(size int) Cost {
+	now := time.Now()
+	table, heap := heapOf(func() *membership.Table {
+		t := membership.NewTable(time.Hour)
+		for i := range size {
+			_ = t.Put(server(i), now)
+		}
+		return t
+	})
+	one, _ := json.Marshal(server(size))
+	work := timeOf(repeats, func(i int) {
+		b := server(i % size)
+		b.Generation, b.Sequence = uint64(2+i/size), uint64(2+i)
+		_ = table.Put(b, now)
+	})
+	return Cost{Size: size, Heap: heap, Wire: float64(len(one)), Work: work}
+}
+
+// command returns the encoded command that admits a service.
+func command(i int, kind state.Kind, subject string) []byte {
+	data, _ := json.Marshal(state.Command{
+		ID: fmt.Sprintf("command-%08d", i), Operator: "operator", BaseVersion: uint64(i),
+		Intent: state.Intent{Kind: kind, Subject: subject, Regions: []string{"region"}},
+	})
+	return data
+}
+
+// newMachine returns a state machine with a number of admitted services.
+func newMachine(services int) *state.Machine {
+	m := state.NewMachine(state.Places{Regions: map[string]string{"zone": "region", "other": "region"}})
+	for i := range services {
+		_, _ = m.Apply(command(i, state.AdmitService, fmt.Sprintf("service-%d", i)))
+	}
+	return m
+}
+
+// measureConfiguration measures one copy of the configuration.
+func measureConfiguration(size int) Cost {
+	data, _ := json.Marshal(newMachine(size).Configuration())
+	decode := func() *state.Configuration {
+		var c state.Configuration
+		_ = json.Unmarshal(data, &c)
+		return &c
+	}
+	_, heap := heapOf(decode)
+	return Cost{Size: size, Heap: heap, Wire: float64(len(data)), Work: timeOf(repeats, func(int) { decode() })}
+}
+
+// measureMachine measures the configuration's state machine at the letter's
+// number of services, as changes pile up.
+func measureMachine(size int) Cost {
+	pin := func(i int) []byte {
+		return command(targetServices+i, state.PinAccount, fmt.Sprintf("account-%d", i%targetServices))
+	}
+	m, heap := heapOf(func() *state.Machine {
+		m := newMachine(targetServices)
+		for i := range size {
+			_, _ = m.Apply(pin(i))
+		}
+		return m
+	})
+	snapshot, _ := m.Snapshot()
+	work := timeOf(repeats, func(i int) { _, _ = m.Apply(pin(size + i)) })
+	return Cost{Size: size, Heap: heap, Wire: float64(len(snapshot)), Work: work}
+}
+
+// measureLedger measures the ledger's state machine.
+func measureLedger(size int) Cost {
+	apply := func(m *ledger.Machine, i int) {
+		key, token := fmt.Sprintf("orders\x00account\x00key-%08d", i), fmt.Sprintf("token-%030d", i)
+		claim, _ := json.Marshal(ledger.Command{Op: ledger.OpClaim, Key: key, Token: token, Digest: fmt.Sprintf("%064d", i)})
+		answer := &ledger.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, answerBytes)}
+		settle, _ := json.Marshal(ledger.Command{Op: ledger.OpSettle, Key: key, Token: token, Answer: answer})
+		_, _ = m.Apply(claim)
+		_, _ = m.Apply(settle)
+	}
+	m, heap := heapOf(func() *ledger.Machine {
+		m := ledger.NewMachine()
+		for i := range size {
+			apply(m, i)
+		}
+		return m
+	})
+	snapshot, _ := m.Snapshot()
+	work := timeOf(repeats, func(i int) { apply(m, size+i) })
+	return Cost{Size: size, Heap: heap, Wire: float64(len(snapshot)), Work: work}
+}
--- /dev/null
+++ b/bench/cmd/capacity/main.go
@@ -0,0 +1,15 @@
+// Command capacity prints how the cost of each role grows with size.
+package main
+
+import (
+	"os"
+
+	"tanagerbarrow/bench/capacity"
+)
+
+func main() {
+	parts := capacity.Parts()
+	for i := range parts {
+		parts[i].Print(os.Stdout)
+	}
+}
--- /dev/null
+++ b/bench/load/frontend.go
@@ -0,0 +1,83 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"tanagerbarrow/platform"
+)
+
+// The probing of entries by the stand-in of the platform's balancer.
+const (
+	readyPeriod  = 200 * time.Millisecond
+	readyTimeout = 500 * time.Millisecond
+)
+
+// Entry is one entry as the platform's balancer knows it.
+type Entry struct {
+	// Name is the entry's host name.
+	Name string
+	// Caller is the address for callers.
+	Caller string
+	// Admin is the address that answers readiness.
+	Admin string
+}
+
+// Frontend is a stand-in for the platform's balancer: it probes the readiness
+// of every entry and hands requests to ready ones in turn.
+type Frontend struct {
+	entries []Entry
+	ready   []atomic.Bool
+	next    atomic.Uint64
+	http    http.Client
+}
+
+// NewFrontend returns a frontend that takes every entry to be ready.
+func NewFrontend(entries []Entry) *Frontend {
+	f := &Frontend{entries: entries, ready: make([]atomic.Bool, len(entries))}
+	f.http.Timeout = readyTimeout
+	for i := range f.ready {
+		f.ready[i].Store(true)
+	}
+	return f
+}
+
+// Run probes until ctx ends.
+func (f *Frontend) Run(ctx context.Context) {
+	for i := range f.entries {
+		go f.probe(ctx, i)
+	}
+	<-ctx.Done()
+}
+
+// probe probes one entry until ctx ends.
+func (f *Frontend) probe(ctx context.Context, i int) {
+	tick := time.NewTicker(readyPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			res, err := f.http.Get("http://" + f.entries[i].Admin + platform.ReadyPath)
+			f.ready[i].Store(err == nil && res.StatusCode == http.StatusOK)
+			if err == nil {
+				_ = res.Body.Close()
+			}
+		}
+	}
+}
+
+// Pick returns the next ready entry, or the next one if none is ready.
+func (f *Frontend) Pick() Entry {
+	start := int(f.next.Add(1))
+	for i := range f.entries {
+		at := (start + i) % len(f.entries)
+		if f.ready[at].Load() {
+			return f.entries[at]
+		}
+	}
+	return f.entries[start%len(f.entries)]
+}
