--- a/bench/capacity/parts.go
+++ b/bench/capacity/parts.go
@@ -71,7 +71,7 @@
 		return t
 	})
 	one, _ := json.Marshal(server(size))
-	work := timeOf(repeats, func(i int) {
+	work := timeOf(func(i int) {
 		b := server(i % size)
 		b.Generation, b.Sequence = uint64(2+i/size), uint64(2+i)
 		_ = table.Put(b, now)
@@ -106,7 +106,7 @@
 		return &c
 	}
 	_, heap := heapOf(decode)
-	return Cost{Size: size, Heap: heap, Wire: float64(len(data)), Work: timeOf(repeats, func(int) { decode() })}
+	return Cost{Size: size, Heap: heap, Wire: float64(len(data)), Work: timeOf(func(int) { decode() })}
 }
 
 // measureMachine measures the configuration's state machine at the letter's
@@ -123,7 +123,7 @@
 		return m
 	})
 	snapshot, _ := m.Snapshot()
-	work := timeOf(repeats, func(i int) { _, _ = m.Apply(pin(size + i)) })
+	work := timeOf(func(i int) { _, _ = m.Apply(pin(size + i)) })
 	return Cost{Size: size, Heap: heap, Wire: float64(len(snapshot)), Work: work}
 }
 
@@ -145,6 +145,6 @@
 		return m
 	})
 	snapshot, _ := m.Snapshot()
-	work := timeOf(repeats, func(i int) { apply(m, size+i) })
+	work := timeOf(func(i int) { apply(m, size+i) })
 	return Cost{Size: size, Heap: heap, Wire: float64(len(snapshot)), Work: work}
 }
--- a/bench/capacity/slope.go
+++ b/bench/capacity/slope.go
@@ -80,11 +80,11 @@
 	return float64(m.HeapAlloc)
 }
 
-// timeOf returns the mean time of an operation over a fixed number of runs.
-func timeOf(runs int, operation func(i int)) time.Duration {
+// timeOf returns the mean time of an operation over its repeats.
+func timeOf(operation func(i int)) time.Duration {
 	start := time.Now()
-	for i := range runs {
+	for i := range repeats {
 		operation(i)
 	}
-	return time.Since(start) / time.Duration(runs)
+	return time.Since(start) / repeats
 }
