Hold the settings page against the code

docs/SETTINGS.md lists every key with unit, default and range; a test compares its rows with the keys that the reader asks for, so that a key cannot be added or dropped without the page. Seen to fail with a row removed, passes with all.

--- /dev/null
+++ b/settings/docs_test.go
@@ -0,0 +1,41 @@
+package settings
+
+import (
+	"maps"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"gopkg.in/ini.v1"
+)
+
+// readKeys returns every key that the settings of a file's role know.
+func readKeys(t *testing.T, path string) map[string]bool {
+	t.Helper()
+	file, err := ini.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &reader{name: path, file: file, known: map[string]bool{}}
+	r.read()
+	return r.known
+}
+
+func TestSettingsPageListsEveryKey(t *testing.T) {
+	known := readKeys(t, "../examples/cowbell/entry-1.ini")
+	maps.Copy(known, readKeys(t, "../examples/cowbell/control-1.ini"))
+	page, err := os.ReadFile("../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z-]+\\.[a-z-]+)` \\|").FindAllSubmatch(page, -1) {
+		listed[string(row[1])] = true
+	}
+	want, got := slices.Sorted(maps.Keys(known)), slices.Sorted(maps.Keys(listed))
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatalf("docs/SETTINGS.md and the code differ (-code +page):\n%s", diff)
+	}
+}
