--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
 	"tanagerbarrow/backend"
-	"tanagerbarrow/balance"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
@@ -51,8 +47,7 @@
 	// Retries bounds retries.
 	Retries *limit.RetryBudget
 
-	ejector  balance.Ejector
-	inFlight sync.Map // netip.AddrPort to *balance.InFlight
+	picker picker
 }
 
 // Dispatch carries the request to a backend server and returns its answer. Its
@@ -107,45 +102,11 @@
 		"service %q has no backend server in regions %q", r.Service.Name, r.HomeRegions)
 }
 
-// pick chooses the next backend server. An ejected one is chosen only where no
-// other is left.
-func (d *Dispatcher) pick(r *request.Request, tried []netip.AddrPort) *membership.BackendServer {
-	config := d.Configuration()
-	servers := d.Members().Services[r.Service.Name]
-	now := time.Now()
-	allowed := func(b *membership.BackendServer) bool {
-		return !config.ZonesOut[b.AvailabilityZone] && r.AllowedIn(d.Regions[b.AvailabilityZone]) &&
-			!slices.Contains(tried, b.Address)
-	}
-	healthy := func(b *membership.BackendServer) bool {
-		return allowed(b) && !d.ejector.Ejected(b.Address, now)
-	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if to := balance.TwoChoices(servers, healthy, d.load, random); to != nil {
-		return to
-	}
-	return balance.TwoChoices(servers, allowed, d.load, random)
-}
-
-// load returns this entry's requests in progress for each slot.
-func (d *Dispatcher) load(b *membership.BackendServer) float64 {
-	return float64(d.counter(b.Address).Load()) / float64(b.Slots)
-}
-
-// counter returns the count of requests in progress on an address.
-func (d *Dispatcher) counter(address netip.AddrPort) *balance.InFlight {
-	if c, ok := d.inFlight.Load(address); ok {
-		return c.(*balance.InFlight)
-	}
-	c, _ := d.inFlight.LoadOrStore(address, &balance.InFlight{})
-	return c.(*balance.InFlight)
-}
-
 // send sends one attempt and counts it until its answer is closed.
 func (d *Dispatcher) send(
 	ctx context.Context, to *membership.BackendServer, r *request.Request, h *http.Request, b body,
 ) (*http.Response, error) {
-	count := d.counter(to.Address)
+	count := d.picker.counter(to.Address)
 	count.Add(1)
 	res, err := d.Exchanger.Exchange(ctx, to, &backend.Attempt{
 		Method: h.Method, Path: h.URL.Path, Query: h.URL.RawQuery, Header: h.Header,
@@ -155,11 +116,11 @@
 	if err != nil {
 		count.Add(-1)
 		if ctx.Err() == nil {
-			d.ejector.Failed(to.Address, time.Now())
+			d.picker.ejector.Failed(to.Address, time.Now())
 		}
 		return nil, err
 	}
-	d.ejector.Succeeded(to.Address)
+	d.picker.ejector.Succeeded(to.Address)
 	res.Body = &countedBody{ReadCloser: res.Body, count: count}
 	return res, nil
 }
