Choose backend servers by in-flight counts that entries exchange

Entries of a region tell each other their requests in progress every 2 ms, only where a count changed; counts older than 12 ms weigh half and those older than 25 ms nothing. A request waits at the entry while every backend server is at its limit over all entries. A cold backend server is admitted by one owner, which lends single requests to the other entries. The random source of a pick is no longer allocated for each request.

The entry prefers its own zone while it is idle; one choice in 16 disregards the way, so that all backend servers of the region stay measured. Ruled out: a strict preference, under which an idle entry never reaches the second zone.

The whole-path test in separate processes passes with -race.

--- /dev/null
+++ b/balance/choices.go
@@ -0,0 +1,237 @@
+package balance
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"tanagerbarrow/membership"
+	"tanagerbarrow/state"
+)
+
+// The bounds of one choice.
+const (
+	// nearLooked and farLooked are how many backend servers of this region and
+	// of others a choice compares at most.
+	nearLooked = 8
+	farLooked  = 4
+	// explorePicks is the number of choices of which one disregards the way to
+	// other zones, so that requests keep showing how every backend server of
+	// the region does.
+	explorePicks = 16
+	// idleShare is the part of the usual latency that one more request on a
+	// backend server with free slots counts for.
+	idleShare = 4
+)
+
+// Hops are the round trips that a choice weighs against waiting.
+type Hops struct {
+	// Zone is the round trip to another availability zone of the region.
+	Zone time.Duration
+	// Region is the round trip to another region.
+	Region time.Duration
+}
+
+// DefaultHops are the round trips of the sites that the product serves today.
+func DefaultHops() Hops { return Hops{Zone: time.Millisecond, Region: 16 * time.Millisecond} }
+
+// Place is where an entry stands.
+type Place struct {
+	// AvailabilityZone is the entry's own.
+	AvailabilityZone string
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
+	// Hops are the round trips from here.
+	Hops Hops
+}
+
+// Choices are the backend servers among which an entry chooses, for one view of
+// the members and one configuration. It is immutable.
+type Choices struct {
+	loads    *Loads
+	services map[string]*service
+}
+
+// service are the backend servers of one service, near ones in this region.
+type service struct {
+	usual     *latency
+	near, far []candidate
+}
+
+// candidate is a backend server with the cost of the way to it.
+type candidate struct {
+	server *Server
+	region string
+	hop    int64 // nanoseconds
+}
+
+// NewChoices returns the choices of an entry at the place. Availability zones
+// that are out offer none.
+func NewChoices(l *Loads, v *membership.View, c *state.Configuration, at Place, now time.Time) *Choices {
+	all := &Choices{loads: l, services: make(map[string]*service, len(v.Services))}
+	home := at.Regions[at.AvailabilityZone]
+	keep := map[Key]bool{}
+	for name, records := range v.Services {
+		s := &service{usual: l.usual(name)}
+		for _, record := range records {
+			b := l.Server(record, at.Regions[record.AvailabilityZone] != home, now)
+			keep[b.Key()] = true
+			if !c.ZonesOut[record.AvailabilityZone] {
+				s.add(b, at)
+			}
+		}
+		all.services[name] = s
+	}
+	l.Keep(keep)
+	return all
+}
+
+// add adds a backend server.
+func (s *service) add(b *Server, at Place) {
+	zone := b.Record.AvailabilityZone
+	c := candidate{server: b, region: at.Regions[zone]}
+	switch {
+	case zone == at.AvailabilityZone:
+		s.near = append(s.near, c)
+	case c.region == at.Regions[at.AvailabilityZone]:
+		c.hop = int64(at.Hops.Zone)
+		s.near = append(s.near, c)
+	default:
+		c.hop = int64(at.Hops.Region)
+		s.far = append(s.far, c)
+	}
+}
+
+// Query is what one choice must respect.
+type Query struct {
+	// Now is in nanoseconds of Unix time.
+	Now int64
+	// Random is a random number.
+	Random uint64
+	// HomeRegions are the only regions to choose from; empty means any.
+	HomeRegions []string
+	// Tried are addresses to leave out.
+	Tried []netip.AddrPort
+}
+
+// allows reports whether the query lets a backend server be chosen at all.
+func (q *Query) allows(c *candidate) bool {
+	if len(q.HomeRegions) > 0 && !slices.Contains(q.HomeRegions, c.region) {
+		return false
+	}
+	return len(q.Tried) == 0 || !slices.Contains(q.Tried, c.server.Record.Address)
+}
+
+// Pick returns the backend server with the lowest expected cost, or nil. full
+// is true if there are allowed backend servers, all of them at their limits.
+// It takes no lock and allocates nothing.
+func (c *Choices) Pick(name string, q *Query) (best *Server, full bool) {
+	s, ok := c.services[name]
+	if !ok {
+		return nil, false
+	}
+	p := search{query: q, usual: int64(s.usual.mean()), healthy: true}
+	p.explore = q.Random>>exploreShift%explorePicks == 0
+	p.known, p.entries = c.loads.known()
+	p.look(s.near, nearLooked, 0)
+	p.explore = false
+	if p.best == nil || p.cost > s.farHop() {
+		p.look(s.far, farLooked, unknownLoad)
+	}
+	if p.best == nil && p.ejected {
+		p.healthy = false
+		p.look(s.near, nearLooked, 0)
+		p.look(s.far, farLooked, unknownLoad)
+	}
+	return p.best, p.best == nil && p.full
+}
+
+// farHop returns the cost of the way to other regions.
+func (s *service) farHop() int64 {
+	if len(s.far) == 0 {
+		return 1 << 62
+	}
+	return s.far[0].hop
+}
+
+// exploreShift takes other bits of the random number than the start of a search.
+const exploreShift = 40
+
+// unknownLoad is the load, for each slot, that a choice assumes on a backend
+// server of another region, whose counts are not exchanged.
+const unknownLoad = 1
+
+// search is the state of one choice.
+type search struct {
+	query          *Query
+	usual          int64
+	known, entries int64
+	healthy        bool
+	explore        bool
+	best           *Server
+	cost           int64
+	full, ejected  bool
+}
+
+// look compares up to most backend servers from a random start.
+func (p *search) look(all []candidate, most int, assumed int64) {
+	if len(all) == 0 {
+		return
+	}
+	at := int(p.query.Random % uint64(len(all)))
+	for range all {
+		c := &all[at]
+		at++
+		if at == len(all) {
+			at = 0
+		}
+		if !p.usable(c, assumed > 0) {
+			continue
+		}
+		if cost := p.costOf(c, assumed); p.best == nil || cost < p.cost {
+			p.best, p.cost = c.server, cost
+		}
+		if most--; most == 0 {
+			return
+		}
+	}
+}
+
+// usable reports whether the backend server may be chosen now.
+func (p *search) usable(c *candidate, far bool) bool {
+	if !p.query.allows(c) {
+		return false
+	}
+	s := c.server
+	if p.healthy && s.Ejection.Ejected(p.query.Now) {
+		p.ejected = true
+		return false
+	}
+	if far && s.cold.Load() {
+		return false
+	}
+	if s.hasRoom(p.known, p.entries, 0) {
+		return true
+	}
+	p.full = true
+	if s.cold.Load() && !s.wanted.Load() {
+		s.wanted.Store(true)
+	}
+	return false
+}
+
+// costOf returns the expected time until an answer beyond the service time, in
+// nanoseconds.
+func (p *search) costOf(c *candidate, assumed int64) int64 {
+	s := c.server
+	slots := int64(s.Record.Slots)
+	total := s.Total() + assumed*slots
+	cost := total * p.usual / (slots * idleShare)
+	if !p.explore {
+		cost += c.hop
+	}
+	if waiting := total + 1 - slots; waiting > 0 {
+		cost += waiting * p.usual / slots
+	}
+	return cost
+}
--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -1,8 +1,7 @@
 package balance
 
 import (
-	"net/netip"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,41 +12,35 @@
 	maxEjection = 5 * time.Second
 )
 
-// Ejector keeps backend servers whose exchanges fail out of the choice for a
-// while. After an ejection one failed exchange is enough for the next.
-type Ejector struct {
-	servers sync.Map // netip.AddrPort to ejection
-}
-
-// ejection is the record of one failing backend server.
-type ejection struct {
-	until time.Time
-	last  time.Duration
+// Ejection keeps a backend server whose exchanges fail out of the choice for a
+// while. After an ejection one failed exchange is enough for the next. It takes
+// no lock.
+type Ejection struct {
+	until atomic.Int64
+	last  atomic.Int64
 }
 
 // Failed notes a failed exchange with the backend server.
-func (e *Ejector) Failed(address netip.AddrPort, now time.Time) {
-	next := ejection{last: minEjection}
-	if old, ok := e.servers.Load(address); ok {
-		held := old.(ejection)
-		if now.Before(held.until) {
-			return
-		}
-		next.last = min(2*held.last, maxEjection)
+func (e *Ejection) Failed(now time.Time) {
+	if e.Ejected(now.UnixNano()) {
+		return
 	}
-	next.until = now.Add(next.last)
-	e.servers.Store(address, next)
+	next := int64(minEjection)
+	if last := e.last.Load(); last > 0 {
+		next = min(2*last, int64(maxEjection))
+	}
+	e.last.Store(next)
+	e.until.Store(now.UnixNano() + next)
 }
 
 // Succeeded notes an answer of the backend server.
-func (e *Ejector) Succeeded(address netip.AddrPort) {
-	if _, ok := e.servers.Load(address); ok {
-		e.servers.Delete(address)
+func (e *Ejection) Succeeded() {
+	if e.last.Load() != 0 {
+		e.last.Store(0)
+		e.until.Store(0)
 	}
 }
 
-// Ejected reports whether the backend server is kept out of the choice.
-func (e *Ejector) Ejected(address netip.AddrPort, now time.Time) bool {
-	held, ok := e.servers.Load(address)
-	return ok && now.Before(held.(ejection).until)
-}
+// Ejected reports whether the backend server is kept out of the choice. now is
+// in nanoseconds of Unix time.
+func (e *Ejection) Ejected(now int64) bool { return now < e.until.Load() }
--- /dev/null
+++ b/balance/exchange.go
@@ -0,0 +1,212 @@
+package balance
+
+import (
+	"time"
+)
+
+// The exchange of counts between the entries of a region.
+const (
+	// ExchangePeriod is the time between reports while counts change.
+	ExchangePeriod = 2 * time.Millisecond
+	// busyHeartbeat and idleHeartbeat are the longest times without a report,
+	// with and without requests in progress.
+	busyHeartbeat = 8 * time.Millisecond
+	idleHeartbeat = 100 * time.Millisecond
+	// freshAge is the age of a report up to which its counts hold in full, and
+	// staleAge that from which they hold no more.
+	freshAge = 12 * time.Millisecond
+	staleAge = 25 * time.Millisecond
+	// cutAge is the age from which the teller is taken to be out of reach.
+	cutAge = 250 * time.Millisecond
+	// startGrace is how long an entry trusts a state that it did not see arise.
+	startGrace = 2 * time.Second
+)
+
+// The weights of a peer's counts.
+const (
+	fullWeight = 2
+	halfWeight = 1
+)
+
+// peerLoad is what one other entry reported, and what it was told.
+type peerLoad struct {
+	heard  time.Time
+	weight int64
+	counts map[Key]int64
+
+	greeted  bool // it has our full report
+	known    bool // we have its full report
+	lastSent time.Time
+	ackScan  uint64
+	ackPhase uint64
+}
+
+// peer returns the record of another entry.
+func (l *Loads) peer(name string) *peerLoad {
+	p, ok := l.peers[name]
+	if !ok {
+		p = &peerLoad{counts: map[Key]int64{}, weight: fullWeight}
+		l.peers[name] = p
+	}
+	return p
+}
+
+// Tick looks for changed counts, lets old ones fade and moves admissions on. It
+// is called once in each [ExchangePeriod], before the reports.
+func (l *Loads) Tick(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scan++
+	for _, t := range l.servers {
+		if n := t.Local(); n != t.reported {
+			t.reported, t.changed = n, l.scan
+		}
+	}
+	live := l.live()
+	cut := int64(0)
+	for _, name := range live {
+		if name == l.self {
+			continue
+		}
+		p := l.peer(name)
+		l.fade(p, now)
+		if now.Sub(p.heardOr(l.started)) > cutAge {
+			cut++
+		}
+	}
+	entries := max(int64(len(live)), 1)
+	l.entryNumber.Store(entries)
+	l.knownShare.Store(1000 * (entries - cut) / entries)
+	l.tickCold(now)
+}
+
+// heardOr returns when the peer was last heard, at least the given time.
+func (p *peerLoad) heardOr(least time.Time) time.Time {
+	if p.heard.Before(least) {
+		return least
+	}
+	return p.heard
+}
+
+// fade weighs the counts of a peer by the age of its last report.
+func (l *Loads) fade(p *peerLoad, now time.Time) {
+	weight := int64(0)
+	switch age := now.Sub(p.heard); {
+	case age <= freshAge:
+		weight = fullWeight
+	case age <= staleAge:
+		weight = halfWeight
+	}
+	if weight == p.weight {
+		return
+	}
+	for key, n := range p.counts {
+		if t, ok := l.servers[key]; ok {
+			t.remote.Add(n * (weight - p.weight))
+		}
+	}
+	p.weight = weight
+}
+
+// Report returns what the peer must be told now. ok is false if there is
+// nothing to tell.
+func (l *Loads) Report(to string, now time.Time) (r Report, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peer(to)
+	r = Report{From: l.self, Full: !p.greeted, scanned: l.scan}
+	busy := false
+	for key, t := range l.servers {
+		if t.far {
+			continue
+		}
+		busy = busy || t.reported != 0
+		if t.changed > p.ackScan || r.Full && t.reported != 0 {
+			r.Counts = append(r.Counts, Count{Key: key, InFlight: t.reported})
+		}
+	}
+	l.addPhases(&r, p)
+	l.addWants(&r, to, now)
+	r.Returns = l.returns[to]
+	beat := idleHeartbeat
+	if busy {
+		beat = busyHeartbeat
+	}
+	due := now.Sub(p.lastSent) >= beat
+	empty := len(r.Counts)+len(r.Phases)+len(r.Wants)+len(r.Suspects)+len(r.Returns) == 0
+	if empty && !r.Full && !due {
+		return Report{}, false
+	}
+	p.lastSent = now
+	return r, true
+}
+
+// Accept takes a peer's report in and returns the answer to it.
+func (l *Loads) Accept(r Report, now time.Time) Reply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peer(r.From)
+	p.heard = now
+	if !r.Full && !p.known {
+		return Reply{Lost: true}
+	}
+	if r.Full {
+		l.clear(p)
+		p.known = true
+	}
+	for _, c := range r.Counts {
+		l.setCount(p, c)
+	}
+	for _, ph := range r.Phases {
+		l.acceptPhase(ph)
+	}
+	for _, s := range r.Suspects {
+		l.acceptSuspect(s)
+	}
+	for _, back := range r.Returns {
+		l.acceptReturn(back)
+	}
+	return Reply{Loans: l.lend(r.Wants, now)}
+}
+
+// setCount replaces one count of a peer.
+func (l *Loads) setCount(p *peerLoad, c Count) {
+	if t, ok := l.servers[c.Key]; ok {
+		t.remote.Add((c.InFlight - p.counts[c.Key]) * p.weight)
+	}
+	if c.InFlight == 0 {
+		delete(p.counts, c.Key)
+		return
+	}
+	p.counts[c.Key] = c.InFlight
+}
+
+// clear drops every count of a peer.
+func (l *Loads) clear(p *peerLoad) {
+	for key := range p.counts {
+		l.setCount(p, Count{Key: key})
+	}
+}
+
+// Acknowledge takes the answer to a report in.
+func (l *Loads) Acknowledge(from string, sent Report, got Reply, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peer(from)
+	if got.Lost {
+		p.greeted = false
+		return
+	}
+	p.greeted = true
+	p.ackScan = sent.scanned
+	p.ackPhase = sent.phased
+	l.dropReturns(from, len(sent.Returns))
+	l.borrow(from, got.Loans, now)
+}
+
+// Lost notes that a report got no answer. The next one will be full.
+func (l *Loads) Lost(to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peer(to).greeted = false
+}
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -4,10 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
-
-	"tanagerbarrow/balance"
 )
 
 // body is a request's body as attempts use it.
@@ -54,17 +51,3 @@
 	b.touched.Store(true)
 	return b.in.Read(p)
 }
-
-// countedBody ends the count of a request when its answer is closed.
-type countedBody struct {
-	io.ReadCloser
-
-	count *balance.InFlight
-	once  sync.Once
-}
-
-// Close closes the answer.
-func (b *countedBody) Close() error {
-	b.once.Do(func() { b.count.Add(-1) })
-	return b.ReadCloser.Close()
-}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,14 +6,15 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"tanagerbarrow/backend"
+	"tanagerbarrow/balance"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
 	"tanagerbarrow/request"
-	"tanagerbarrow/state"
 	"tanagerbarrow/verdict"
 )
 
@@ -34,20 +35,14 @@
 
 // Dispatcher carries requests to backend servers.
 type Dispatcher struct {
-	// Members returns the known backend servers.
-	Members func() *membership.View
-	// Configuration returns the configuration in force.
-	Configuration func() *state.Configuration
-	// Regions maps each availability zone to its region.
-	Regions map[string]string
 	// Exchanger sends attempts.
 	Exchanger Exchanger
 	// Claims is the ledger.
 	Claims Claims
 	// Retries bounds retries.
 	Retries *limit.RetryBudget
-
-	picker picker
+	// Balancer chooses backend servers.
+	Balancer *Balancer
 }
 
 // Dispatch carries the request to a backend server and returns its answer. Its
@@ -67,12 +62,13 @@
 	var tried []netip.AddrPort
 	var last error
 	for range maxAttempts {
-		to := d.pick(r, tried)
-		if to == nil {
+		started, err := d.Balancer.Reserve(ctx, r, tried)
+		if err != nil {
+			last = d.reserveError(r, err, last)
 			break
 		}
-		tried = append(tried, to.Address)
-		res, err := d.send(ctx, to, r, h, body)
+		tried = append(tried, started.Server.Record.Address)
+		res, err := d.send(ctx, started, r, h, body)
 		if err == nil {
 			return res, nil
 		}
@@ -81,12 +77,22 @@
 			break
 		}
 	}
-	if last == nil {
-		last = d.noServer(r)
-	}
 	return nil, last
 }
 
+// reserveError returns the error of a request that got no further backend
+// server: that of its last attempt, if there was one.
+func (d *Dispatcher) reserveError(r *request.Request, err, last error) error {
+	switch {
+	case last != nil:
+		return last
+	case errors.Is(err, errNoServer):
+		return d.noServer(r)
+	default:
+		return err
+	}
+}
+
 // mayRetry reports whether the request may be sent again after err. A request
 // that is not idempotent needs proof that it did not run.
 func mayRetry(r *request.Request, err error, body body) bool {
@@ -104,24 +110,20 @@
 
 // send sends one attempt and counts it until its answer is closed.
 func (d *Dispatcher) send(
-	ctx context.Context, to *membership.BackendServer, r *request.Request, h *http.Request, b body,
+	ctx context.Context, on balance.Started, r *request.Request, h *http.Request, b body,
 ) (*http.Response, error) {
-	count := d.picker.counter(to.Address)
-	count.Add(1)
-	res, err := d.Exchanger.Exchange(ctx, to, &backend.Attempt{
+	start := time.Now()
+	res, err := d.Exchanger.Exchange(ctx, &on.Server.Record, &backend.Attempt{
 		Method: h.Method, Path: h.URL.Path, Query: h.URL.RawQuery, Header: h.Header,
 		Body: b.reader(), ContentLength: h.ContentLength,
 		RequestID: r.ID, Deadline: r.Deadline,
 	})
+	answer := answerOf(ctx, res, err, time.Since(start))
 	if err != nil {
-		count.Add(-1)
-		if ctx.Err() == nil {
-			d.picker.ejector.Failed(to.Address, time.Now())
-		}
+		d.Balancer.Release(on, answer)
 		return nil, err
 	}
-	d.picker.ejector.Succeeded(to.Address)
-	res.Body = &countedBody{ReadCloser: res.Body, count: count}
+	res.Body = &countedBody{ReadCloser: res.Body, release: func() { d.Balancer.Release(on, answer) }}
 	return res, nil
 }
 
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -1,53 +1,153 @@
 package dispatch
 
 import (
+	"context"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagerbarrow/balance"
+	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
 	"tanagerbarrow/request"
+	"tanagerbarrow/state"
+	"tanagerbarrow/verdict"
 )
 
-// picker chooses backend servers and counts what is in progress on them.
-type picker struct {
-	ejector  balance.Ejector
-	inFlight sync.Map // netip.AddrPort to *balance.InFlight
-}
-
-// pick chooses the next backend server. An ejected one is chosen only where no
-// other is left.
-func (d *Dispatcher) pick(r *request.Request, tried []netip.AddrPort) *membership.BackendServer {
-	config := d.Configuration()
-	servers := d.Members().Services[r.Service.Name]
-	now := time.Now()
-	allowed := func(b *membership.BackendServer) bool {
-		return !config.ZonesOut[b.AvailabilityZone] && r.AllowedIn(d.Regions[b.AvailabilityZone]) &&
-			!slices.Contains(tried, b.Address)
+// startTries bounds the choices that lose their room to another request.
+const startTries = 3
+
+// Balancer chooses backend servers for the requests of one entry, counts what
+// is in progress on them, and holds requests while all are at their limits.
+type Balancer struct {
+	// Members returns the known backend servers.
+	Members func() *membership.View
+	// Configuration returns the configuration in force.
+	Configuration func() *state.Configuration
+	// Place is where the entry stands.
+	Place balance.Place
+	// Loads are the requests in progress.
+	Loads *balance.Loads
+
+	current atomic.Pointer[choices]
+	build   sync.Mutex
+
+	mu      sync.Mutex
+	queues  map[string]*limit.Queue[*ticket]
+	waiting atomic.Int64
+}
+
+// choices are the choices for one view and one configuration.
+type choices struct {
+	*balance.Choices
+
+	view   *membership.View
+	config *state.Configuration
+}
+
+// choices returns the choices for the newest view and configuration.
+func (b *Balancer) choices() *choices {
+	view, config := b.Members(), b.Configuration()
+	have := b.current.Load()
+	if have != nil && have.view == view && have.config == config {
+		return have
 	}
-	healthy := func(b *membership.BackendServer) bool {
-		return allowed(b) && !d.picker.ejector.Ejected(b.Address, now)
+	b.build.Lock()
+	defer b.build.Unlock()
+	view, config = b.Members(), b.Configuration()
+	have = b.current.Load()
+	if have != nil && have.view == view && have.config == config {
+		return have
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if to := balance.TwoChoices(servers, healthy, d.picker.load, random); to != nil {
-		return to
+	next := &choices{
+		Choices: balance.NewChoices(b.Loads, view, config, b.Place, time.Now()),
+		view:    view, config: config,
 	}
-	return balance.TwoChoices(servers, allowed, d.picker.load, random)
+	b.current.Store(next)
+	return next
 }
 
-// load returns this entry's requests in progress for each slot.
-func (p *picker) load(b *membership.BackendServer) float64 {
-	return float64(p.counter(b.Address).Load()) / float64(b.Slots)
+// start chooses a backend server and counts the request on it. full is true if
+// there are backend servers, all of them at their limits.
+func (b *Balancer) start(r *request.Request, tried []netip.AddrPort) (started balance.Started, ok, full bool) {
+	all := b.choices()
+	for range startTries {
+		s, full := all.Pick(r.Service.Name, &balance.Query{
+			Now: time.Now().UnixNano(), Random: rand.Uint64(),
+			HomeRegions: r.HomeRegions, Tried: tried,
+		})
+		if s == nil {
+			return balance.Started{}, false, full
+		}
+		if started, ok = b.Loads.Start(s); ok {
+			return started, true, false
+		}
+	}
+	return balance.Started{}, false, true
 }
 
-// counter returns the count of requests in progress on an address.
-func (p *picker) counter(address netip.AddrPort) *balance.InFlight {
-	if c, ok := p.inFlight.Load(address); ok {
-		return c.(*balance.InFlight)
+// Reserve chooses a backend server for the request and counts it there. It
+// waits while all are at their limits. Without an allowed backend server it
+// returns errNoServer.
+func (b *Balancer) Reserve(ctx context.Context, r *request.Request, tried []netip.AddrPort) (balance.Started, error) {
+	if b.waitersOf(r.Service.Name) == 0 {
+		started, ok, full := b.start(r, tried)
+		if ok {
+			return started, nil
+		}
+		if !full {
+			return balance.Started{}, errNoServer
+		}
 	}
-	c, _ := p.inFlight.LoadOrStore(address, &balance.InFlight{})
-	return c.(*balance.InFlight)
+	return b.wait(ctx, r, tried)
+}
+
+// errNoServer means that no backend server is allowed for a request.
+var errNoServer = errors.New("no backend server")
+
+// Release ends the count of a request and learns from its answer.
+func (b *Balancer) Release(started balance.Started, a balance.Answer) {
+	b.Loads.Finish(started, a, time.Now())
+	b.wake(started.Server.Record.Service)
+}
+
+// answerOf returns what an exchange showed of its backend server.
+func answerOf(ctx context.Context, res *http.Response, err error, took time.Duration) balance.Answer {
+	a := balance.Answer{Took: took}
+	var e *verdict.Error
+	switch {
+	case err == nil && res.StatusCode >= http.StatusInternalServerError:
+		a.Kind = balance.ServerError
+	case err == nil:
+		a.Kind = balance.Good
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a.Kind = balance.TimedOut
+	case ctx.Err() != nil:
+		a.Kind = balance.Cancelled
+	case errors.As(err, &e) && e.Code == "refused":
+		a.Kind = balance.Refused
+	default:
+		a.Kind = balance.Broken
+	}
+	return a
+}
+
+// countedBody ends the count of a request when its answer is closed.
+type countedBody struct {
+	io.ReadCloser
+
+	release func()
+	once    sync.Once
+}
+
+// Close closes the answer.
+func (b *countedBody) Close() error {
+	b.once.Do(b.release)
+	return b.ReadCloser.Close()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,8 @@
 	table     *membership.Table
 	follower  *follower
 	spreader  *spreader
+	balancer  *dispatch.Balancer
+	sharer    *loadSharer
 	peers     *peer.Server
 	callers   *platform.Server
 	admin     *platform.Server
@@ -61,6 +63,9 @@
 	e.spreader = newSpreader(clients(s, s.EntryHosts), log)
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
 	e.peers.Handle(peer.MethodMembers, peer.Typed(e.members))
+	e.balancer = e.newBalancer()
+	e.sharer = newLoadSharer(s, e.balancer, e.metrics)
+	e.peers.Handle(peer.MethodLoad, peer.Typed(e.sharer.accept))
 	return e, e.listen(controls)
 }
 
@@ -82,12 +87,10 @@
 	front := &caller.Front{
 		Configuration: e.follower.current,
 		Dispatcher: &dispatch.Dispatcher{
-			Members:       e.table.View,
-			Configuration: e.follower.current,
-			Regions:       e.settings.Regions,
-			Exchanger:     backend.NewExchanger(),
-			Claims:        &claims{controls: controls},
-			Retries:       limit.NewRetryBudget(),
+			Exchanger: backend.NewExchanger(),
+			Claims:    &claims{controls: controls},
+			Retries:   limit.NewRetryBudget(),
+			Balancer:  e.balancer,
 		},
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
@@ -127,6 +130,7 @@
 	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
 	g.Go(func() error { return e.follower.run(work) })
 	g.Go(func() error { return e.spreader.run(work) })
+	g.Go(func() error { return e.sharer.run(work) })
 	g.Go(func() error { return e.expire(work) })
 	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
 	<-ctx.Done()
--- /dev/null
+++ b/entry/loadshare.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"tanagerbarrow/balance"
+	"tanagerbarrow/dispatch"
+	"tanagerbarrow/peer"
+	"tanagerbarrow/settings"
+	"tanagerbarrow/telemetry"
+)
+
+// The exchange of load reports.
+const (
+	loadTimeout = 250 * time.Millisecond
+	loadPause   = 100 * time.Millisecond
+)
+
+// loadSharer exchanges requests in progress with the other entries of the
+// region: one goroutine for the period and one for each peer. A peer that is
+// still busy with a report misses the next and gets its counts with a later one.
+type loadSharer struct {
+	loads    *balance.Loads
+	balancer *dispatch.Balancer
+	links    []loadLink
+	sent     *metrics.Counter
+	lost     *metrics.Counter
+	counts   *metrics.Counter
+}
+
+// loadLink is the way to one other entry.
+type loadLink struct {
+	client *peer.Client
+	due    chan struct{} // capacity 1
+}
+
+// newLoadSharer returns a sharer to the other entries of the host's region.
+func newLoadSharer(s *settings.Settings, b *dispatch.Balancer, m *telemetry.Metrics) *loadSharer {
+	l := &loadSharer{
+		loads: b.Loads, balancer: b,
+		sent:   m.Set.NewCounter(`tanagerbarrow_load_reports_total{result="answered"}`),
+		lost:   m.Set.NewCounter(`tanagerbarrow_load_reports_total{result="lost"}`),
+		counts: m.Set.NewCounter(`tanagerbarrow_load_counts_total`),
+	}
+	for _, c := range clients(s, regionEntries(s)) {
+		l.links = append(l.links, loadLink{client: c, due: make(chan struct{}, 1)})
+	}
+	return l
+}
+
+// newBalancer returns the balancer of an entry.
+func (e *Entry) newBalancer() *dispatch.Balancer {
+	s := e.settings
+	live := func() []string {
+		var names []string
+		for _, h := range regionEntries(s) {
+			names = append(names, h.Name)
+		}
+		return names
+	}
+	return &dispatch.Balancer{
+		Members:       e.table.View,
+		Configuration: e.follower.current,
+		Place: balance.Place{
+			AvailabilityZone: s.Host.AvailabilityZone, Regions: s.Regions, Hops: balance.DefaultHops(),
+		},
+		Loads: balance.NewLoads(balance.Options{
+			Self: s.Host.Name, Live: live, LoanTimeout: 2 * s.Limits.RequestTimeout,
+		}, time.Now()),
+	}
+}
+
+// regionEntries returns the entry hosts of the host's region, with itself.
+func regionEntries(s *settings.Settings) []settings.Host {
+	var found []settings.Host
+	for _, h := range s.EntryHosts {
+		if s.Regions[h.AvailabilityZone] == s.Region() {
+			found = append(found, h)
+		}
+	}
+	return found
+}
+
+// run exchanges reports until ctx ends.
+func (l *loadSharer) run(ctx context.Context) error {
+	var g errgroup.Group
+	for _, link := range l.links {
+		g.Go(func() error {
+			l.serve(ctx, link)
+			return nil
+		})
+	}
+	l.tick(ctx)
+	return g.Wait()
+}
+
+// tick moves the loads on once in each period.
+func (l *loadSharer) tick(ctx context.Context) {
+	ticker := time.NewTicker(balance.ExchangePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.loads.Tick(now)
+			l.balancer.WakeAll()
+			l.notify()
+		}
+	}
+}
+
+// notify makes every link look for something to tell.
+func (l *loadSharer) notify() {
+	for _, link := range l.links {
+		select {
+		case link.due <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// serve tells one peer.
+func (l *loadSharer) serve(ctx context.Context, link loadLink) {
+	defer link.client.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-link.due:
+			if !l.tell(ctx, link.client) {
+				pause(ctx, loadPause)
+			}
+		}
+	}
+}
+
+// tell sends one report if there is something to tell.
+func (l *loadSharer) tell(ctx context.Context, to *peer.Client) bool {
+	name := to.Peer().Name
+	report, ok := l.loads.Report(name, time.Now())
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var reply peer.LoadReply
+	if err := to.Call(ctx, peer.MethodLoad, peer.LoadReport{Report: report}, &reply); err != nil {
+		l.lost.Inc()
+		l.loads.Lost(name)
+		return false
+	}
+	l.sent.Inc()
+	l.counts.Add(len(report.Counts))
+	l.loads.Acknowledge(name, report, reply.Reply, time.Now())
+	return true
+}
+
+// accept takes a report of another entry in.
+func (l *loadSharer) accept(_ context.Context, r peer.LoadReport) (peer.LoadReply, error) {
+	return peer.LoadReply{Reply: l.loads.Accept(r.Report, time.Now())}, nil
+}
--- /dev/null
+++ b/limit/queue.go
@@ -0,0 +1,113 @@
+package limit
+
+import (
+	"slices"
+	"time"
+)
+
+// overloadWait is the wait from which a queue serves its newest request first:
+// the oldest ones are then the likeliest to miss their deadlines.
+const overloadWait = 50 * time.Millisecond
+
+// Waiter is a request that waits for a backend server.
+type Waiter[T any] struct {
+	// Account is the client account whose share the request uses.
+	Account string
+	// Since is when the request came.
+	Since time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Value is the caller's own.
+	Value T
+}
+
+// Queue holds waiting requests. It is bounded, serves client accounts in turn,
+// drops requests past their deadline, and under overload serves the newest
+// first. It is not safe for concurrent use.
+type Queue[T any] struct {
+	capacity int
+	size     int
+	turns    []*backlog[T]
+	accounts map[string]*backlog[T]
+}
+
+// backlog holds the waiting requests of one client account, oldest first.
+type backlog[T any] struct {
+	account string
+	waiters []*Waiter[T]
+}
+
+// NewQueue returns an empty queue for at most capacity requests.
+func NewQueue[T any](capacity int) *Queue[T] {
+	return &Queue[T]{capacity: capacity, accounts: map[string]*backlog[T]{}}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue[T]) Len() int { return q.size }
+
+// Push adds a request. If the queue was full it returns the request that must
+// be shed, which is the oldest of the account with the most waiting requests.
+func (q *Queue[T]) Push(w *Waiter[T]) (shed *Waiter[T]) {
+	b, ok := q.accounts[w.Account]
+	if !ok {
+		b = &backlog[T]{account: w.Account}
+		q.accounts[w.Account] = b
+		q.turns = append(q.turns, b)
+	}
+	b.waiters = append(b.waiters, w)
+	q.size++
+	if q.size <= q.capacity {
+		return nil
+	}
+	longest := slices.MaxFunc(q.turns, func(a, b *backlog[T]) int { return len(a.waiters) - len(b.waiters) })
+	shed = longest.waiters[0]
+	q.Remove(shed)
+	return shed
+}
+
+// Peek returns the next request without taking it out, or nil if none waits. It
+// takes out and returns those that it found past their deadline.
+func (q *Queue[T]) Peek(now time.Time) (next *Waiter[T], expired []*Waiter[T]) {
+	for q.size > 0 {
+		waiters := q.turns[0].waiters
+		w := waiters[0]
+		if now.Sub(w.Since) > overloadWait {
+			w = waiters[len(waiters)-1]
+		}
+		if now.Before(w.Deadline) {
+			return w, expired
+		}
+		q.Remove(w)
+		expired = append(expired, w)
+	}
+	return nil, expired
+}
+
+// Take takes out a request that is to be served and ends its account's turn.
+func (q *Queue[T]) Take(w *Waiter[T]) {
+	b := q.accounts[w.Account]
+	if !q.Remove(w) || len(b.waiters) == 0 {
+		return
+	}
+	q.turns = slices.DeleteFunc(q.turns, func(t *backlog[T]) bool { return t == b })
+	q.turns = append(q.turns, b)
+}
+
+// Remove takes a request out and reports whether it still waited.
+func (q *Queue[T]) Remove(w *Waiter[T]) bool {
+	b, ok := q.accounts[w.Account]
+	if !ok {
+		return false
+	}
+	at := slices.Index(b.waiters, w)
+	if at < 0 {
+		return false
+	}
+	b.waiters = slices.Delete(b.waiters, at, at+1)
+	q.size--
+	if len(b.waiters) == 0 {
+		delete(q.accounts, w.Account)
+		q.turns = slices.DeleteFunc(q.turns, func(t *backlog[T]) bool { return t == b })
+	}
+	return true
+}
