--- a/balance/choices.go
+++ b/balance/choices.go
@@ -125,7 +125,7 @@
 // Pick returns the backend server with the lowest expected cost, or nil. full
 // is true if there are allowed backend servers, all of them at their limits.
 // It takes no lock and allocates nothing.
-func (c *Choices) Pick(name string, q *Query) (best *Server, full bool) {
+func (c *Choices) Pick(name string, q Query) (best *Server, full bool) {
 	s, ok := c.services[name]
 	if !ok {
 		return nil, false
@@ -163,7 +163,7 @@
 
 // search is the state of one choice.
 type search struct {
-	query          *Query
+	query          Query
 	usual          int64
 	known, entries int64
 	healthy        bool
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -78,7 +78,7 @@
 func (b *Balancer) start(r *request.Request, tried []netip.AddrPort) (started balance.Started, ok, full bool) {
 	all := b.choices()
 	for range startTries {
-		s, full := all.Pick(r.Service.Name, &balance.Query{
+		s, full := all.Pick(r.Service.Name, balance.Query{
 			Now: time.Now().UnixNano(), Random: rand.Uint64(),
 			HomeRegions: r.HomeRegions, Tried: tried,
 		})
--- /dev/null
+++ b/limit/queue_test.go
@@ -0,0 +1,63 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+func TestQueueIsFairBoundedAndKeepsDeadlines(t *testing.T) {
+	now := time.Unix(100, 0)
+	q := NewQueue[int](10)
+	push := func(account string, n int, wait time.Duration) *Waiter[int] {
+		return q.Push(&Waiter[int]{Account: account, Since: now, Deadline: now.Add(wait), Value: n})
+	}
+	for i := range 9 {
+		push("greedy", i, time.Minute)
+	}
+	push("modest", 100, time.Minute)
+	if shed := push("modest", 101, time.Minute); shed == nil || shed.Account != "greedy" || shed.Value != 0 {
+		t.Fatalf("shed %+v, want the greedy account's oldest request", shed)
+	}
+	var order []int
+	for range 4 {
+		w, expired := q.Peek(now)
+		if len(expired) != 0 {
+			t.Fatalf("expired too early: %+v", expired)
+		}
+		order = append(order, w.Value)
+		q.Take(w)
+	}
+	if want := [4]int{1, 100, 2, 101}; [4]int(order) != want {
+		t.Fatalf("served %v, want %v", order, want)
+	}
+	if w, _ := q.Peek(now.Add(overloadWait + 1)); w.Value != 8 {
+		t.Fatalf("under overload served %d, want the newest", w.Value)
+	}
+	w, expired := q.Peek(now.Add(time.Minute))
+	if w != nil || len(expired) != 6 || q.Len() != 0 {
+		t.Fatalf("past all deadlines: next %v, %d expired, %d left", w, len(expired), q.Len())
+	}
+}
+
+func TestConcurrencyStaysWithinWhatSlotsBear(t *testing.T) {
+	c := NewConcurrency(2)
+	most := c.Limit()
+	for range 20 {
+		c.Refused()
+	}
+	if c.Limit() != 1 {
+		t.Fatalf("limit %d after refusals, want 1", c.Limit())
+	}
+	for range 100 {
+		c.Answered(c.Limit() - 1)
+	}
+	if c.Limit() != 1 {
+		t.Fatal("answers below the limit raise it")
+	}
+	for range 100 {
+		c.Answered(c.Limit())
+	}
+	if c.Limit() != most {
+		t.Fatalf("limit %d after good answers, want %d", c.Limit(), most)
+	}
+}
