--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,8 @@
 	links     links
 	members   *membership.Node
 	follower  *follower
+	balancer  *dispatch.Balancer
+	sharer    *loadSharer
 	peers     *peer.Server
 	callers   *platform.Server
 	admin     *platform.Server
@@ -57,6 +59,9 @@
 	e.follower.applied = e.configurationApplied
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
 	handleMembership(e.peers, e.members)
+	e.balancer = e.newBalancer()
+	e.sharer = newLoadSharer(s, e.balancer, e.metrics)
+	e.peers.Handle(peer.MethodLoad, peer.Typed(e.sharer.accept))
 	return e, e.listen(controls)
 }
 
@@ -78,12 +83,10 @@
 	front := &caller.Front{
 		Configuration: e.follower.current,
 		Dispatcher: &dispatch.Dispatcher{
-			Members:       e.members.Table().View,
-			Configuration: e.follower.current,
-			Regions:       e.settings.Regions,
-			Exchanger:     backend.NewExchanger(),
-			Claims:        &claims{controls: controls},
-			Retries:       limit.NewRetryBudget(),
+			Exchanger: backend.NewExchanger(),
+			Claims:    &claims{controls: controls},
+			Retries:   limit.NewRetryBudget(),
+			Balancer:  e.balancer,
 		},
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
@@ -123,6 +126,7 @@
 	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
 	g.Go(func() error { return e.follower.run(work) })
 	g.Go(func() error { return e.members.Run(work) })
+	g.Go(func() error { return e.sharer.run(work) })
 	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
 	<-ctx.Done()
 	err := e.shutdown()
