Script the stand-in backend servers

Cause: the zone trials need backend servers that enforce slots, start cold, drain, shed, straggle, fail fast, lie about their load, go silent and crash on a marked request, and that record what ran and when. The stand-in takes a script by method and over HTTP, and announces to the entry that holds its lease.

--- a/bench/standin/standin.go
+++ b/bench/standin/standin.go
@@ -3,13 +3,7 @@
 package standin
 
 import (
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,16 +12,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"tanagerbarrow/backend"
 	"tanagerbarrow/membership"
 )
 
 // TokenHeader is echoed, so that a caller can tell that an answer is its own.
 const TokenHeader = "Test-Token"
 
-// retryPause is the time between announcements that failed.
-const retryPause = 100 * time.Millisecond
-
 // Options describe a stand-in.
 type Options struct {
 	// Service, AvailabilityZone, Slots and Generation are announced.
@@ -39,20 +29,38 @@
 	Entries []string
 	// AnnounceKey is presented with announcements.
 	AnnounceKey string
-	// ServiceTime is how long each request takes.
+	// ServiceTime is how long each request takes unless Script is set.
 	ServiceTime time.Duration
+	// Script is how the stand-in behaves at first; by default its slots are
+	// unlimited.
+	Script *Script
+	// State is announced at first; [membership.Ready] by default.
+	State membership.State
 }
 
+// maxLog bounds the requests in the log.
+const maxLog = 1_000_000
+
 // Server is one running stand-in.
 type Server struct {
 	options  Options
 	listener net.Listener
 	http     *http.Server
 	cancel   context.CancelFunc
-
-	mu    sync.Mutex
-	state membership.State
-	runs  map[string]int
+	wake     chan struct{} // capacity 1, wakes the announcer
+
+	mu          sync.Mutex
+	script      Script
+	changed     chan struct{} // closed when the script changes
+	coldSince   time.Time
+	connections int // connections accepted so far
+	opened      int // connections accepted before the script came
+	state       membership.State
+	runs        map[string]int
+	running     int
+	waiting     []chan struct{}
+	counters    Counters
+	log         []*Run
 }
 
 // Start listens on a free loopback port and announces the stand-in until it is
@@ -64,10 +72,23 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
-		options: o, listener: listener, cancel: cancel,
-		state: membership.Ready, runs: map[string]int{},
+		options: o, listener: listener, cancel: cancel, wake: make(chan struct{}, 1),
+		script: Script{ServiceMillis: o.ServiceTime.Milliseconds(), Unlimited: true},
+		state:  membership.Ready, runs: map[string]int{}, changed: make(chan struct{}),
+	}
+	if o.Script != nil {
+		s.script = *o.Script
+		s.coldSince = time.Now()
+	}
+	if o.State != "" {
+		s.state = o.State
+	}
+	mux := http.NewServeMux()
+	s.control(mux)
+	mux.HandleFunc("/", s.serve)
+	s.http = &http.Server{
+		Handler: mux, ReadHeaderTimeout: time.Minute, ConnContext: s.numberConnection,
 	}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.http.Serve(listener) }()
 	if len(o.Entries) > 0 {
 		go s.announceForever(ctx)
@@ -75,16 +96,20 @@
 	return s, nil
 }
 
-// Address returns where the stand-in serves.
-func (s *Server) Address() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
-}
+// connectionKey is the context key of a connection's number.
+type connectionKey struct{}
 
-// Runs returns how often the request with the token ran.
-func (s *Server) Runs(token string) int {
+// numberConnection numbers the connections in order of arrival.
+func (s *Server) numberConnection(ctx context.Context, _ net.Conn) context.Context {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.runs[token]
+	s.connections++
+	return context.WithValue(ctx, connectionKey{}, s.connections)
+}
+
+// Address returns where the stand-in serves.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // Close stops the stand-in at once, as a crash would.
@@ -93,27 +118,6 @@
 	_ = s.http.Close()
 }
 
-// serve answers with a JSON object that names the server, the token and the
-// SHA-256 of the body.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	sum := sha256.New()
-	size, err := io.Copy(sum, r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	token := r.Header.Get(TokenHeader)
-	s.mu.Lock()
-	s.runs[token]++
-	s.mu.Unlock()
-	time.Sleep(s.options.ServiceTime)
-	w.Header().Set(TokenHeader, token)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Answer{
-		Server: s.Address().String(), Method: r.Method, Path: r.URL.Path, Token: token,
-		Bytes: size, SHA256: hex.EncodeToString(sum.Sum(nil)),
-	})
-}
-
 // Answer is the body of every response.
 type Answer struct {
 	// Server is the stand-in's address.
@@ -127,53 +131,3 @@
 	Bytes  int64  `json:"bytes"`
 	SHA256 string `json:"sha256"`
 }
-
-// announceForever announces the stand-in to one entry after another.
-func (s *Server) announceForever(ctx context.Context) {
-	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		entry := s.options.Entries[int(sequence)%len(s.options.Entries)]
-		lease, err := s.announce(ctx, entry, sequence)
-		wait := lease / 3
-		if err != nil {
-			wait = retryPause
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
-
-// announce announces the stand-in once and returns its lease.
-func (s *Server) announce(ctx context.Context, entry string, sequence uint64) (time.Duration, error) {
-	s.mu.Lock()
-	record := membership.BackendServer{
-		Service: s.options.Service, Address: s.Address(), AvailabilityZone: s.options.AvailabilityZone,
-		Slots: s.options.Slots, Generation: s.options.Generation, State: s.state, Sequence: sequence,
-	}
-	s.mu.Unlock()
-	body, err := json.Marshal(record)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode announcement")
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	url := fmt.Sprintf("http://%s%s", entry, backend.AnnouncePath)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, errors.Wrapf(err, "announce to %s", entry)
-	}
-	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set(backend.AnnounceKeyHeader, s.options.AnnounceKey)
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, errors.Wrapf(err, "announce to %s", entry)
-	}
-	defer func() { _ = res.Body.Close() }()
-	var granted backend.Granted
-	if res.StatusCode != http.StatusOK {
-		return 0, errors.Newf("announce to %s: status %d", entry, res.StatusCode)
-	}
-	err = json.NewDecoder(res.Body).Decode(&granted)
-	return time.Duration(granted.LeaseMillis) * time.Millisecond, errors.Wrapf(err, "decode lease of %s", entry)
-}
