--- a/bench/standin/serve.go
+++ b/bench/standin/serve.go
@@ -27,14 +27,14 @@
 // SHA-256 of the body, unless the script says otherwise.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	run := &Run{Token: r.Header.Get(TokenHeader), Arrived: time.Now()}
-	script, silent := s.arrive(r, run)
+	script, silence := s.arrive(r, run)
 	switch {
 	case script.CrashOnMark && r.Header.Get(CrashHeader) != "":
 		s.note(run.Token, run)
 		s.Close()
 		panic(http.ErrAbortHandler)
-	case silent:
-		s.hang(r)
+	case silence != nil:
+		hang(r, silence)
 	case script.FailFast:
 		s.fail(w)
 		return
@@ -59,9 +59,9 @@
 	s.work(w, r, run)
 }
 
-// arrive counts a request and returns the script and whether it shall never be
-// answered.
-func (s *Server) arrive(r *http.Request, run *Run) (script Script, silent bool) {
+// arrive counts a request and returns the script. For a request that shall not
+// be answered it returns a channel that is closed when the script changes.
+func (s *Server) arrive(r *http.Request, run *Run) (script Script, silence chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Arrived++
@@ -70,15 +70,15 @@
 		s.log = append(s.log, run)
 	}
 	number, _ := r.Context().Value(connectionKey{}).(int)
-	return s.script, s.script.Silent || (s.script.SilentOpen && number <= s.opened)
+	if s.script.Silent || (s.script.SilentOpen && number <= s.opened) {
+		silence = s.changed
+	}
+	return s.script, silence
 }
 
 // hang waits until the script changes or the caller goes, and then cuts the
 // connection.
-func (s *Server) hang(r *http.Request) {
-	s.mu.Lock()
-	changed := s.changed
-	s.mu.Unlock()
+func hang(r *http.Request, changed <-chan struct{}) {
 	select {
 	case <-changed:
 	case <-r.Context().Done():
--- a/bench/standin/standin_test.go
+++ b/bench/standin/standin_test.go
@@ -17,7 +17,8 @@
 	if header != "" {
 		r.Header.Set(header, "1")
 	}
-	res, err := http.DefaultTransport.RoundTrip(r)
+	// A fresh connection: on a reused one the transport would send again.
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
 	if err != nil {
 		return 0, nil
 	}
