Send attempts over own connections

Cause: http.Transport cost two goroutine hand-overs and, for a body that hides its emptiness, a probing goroutine with a timer for each request. It also keeps its idle connections to itself, so a silent one could not be condemned.

Change: an exchange writes the request and reads the answer in the caller's goroutine with net/http's codecs over a pool of its own; only a streamed body has a second goroutine. NotRun now rests on the bytes that the kernel accepted, so that a write which failed at once is proof as well. A reused connection is looked at first: closed or with unasked bytes it is dropped. The first 64 KiB of an answer are held in dispatch, where a cut one can be sent again. The encoded path reaches the backend server as it came (a%2Fb became a/b before). Series names are formatted once; request ids need no system call.

Ruled out: keeping the Transport with an empty body that it can type-check; it would then resend by itself.

--- /dev/null
+++ b/backend/attempt.go
@@ -0,0 +1,88 @@
+package backend
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"tanagerbarrow/membership"
+	"tanagerbarrow/request"
+	"tanagerbarrow/telemetry"
+)
+
+// maxWrittenFirst bounds a held body that is written whole before the answer is
+// awaited, in bytes. It fits the send buffer of a fresh connection.
+const maxWrittenFirst = 16 << 10
+
+// Attempt is one try of a request on one backend server.
+type Attempt struct {
+	// Method, Path and Query form the request line.
+	Method, Path, Query string
+	// RawPath is the encoded path if it differs from the usual encoding of Path.
+	RawPath string
+	// Header is sent without its hop-by-hop fields.
+	Header http.Header
+	// Held is the request's body if it is held in memory and Body is nil.
+	Held []byte
+	// Body is the request's body as it arrives, or nil.
+	Body io.ReadCloser
+	// ContentLength is the length of Body in bytes, or -1 if unknown.
+	ContentLength int64
+	// RequestID follows the request through every process.
+	RequestID string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// SilenceLimit bounds the wait for the first byte of the answer on a reused
+	// connection; 0 means that only the deadline does.
+	SilenceLimit time.Duration
+}
+
+// streams reports whether the body is sent while the answer is awaited.
+func (a *Attempt) streams() bool { return a.Body != nil || len(a.Held) > maxWrittenFirst }
+
+// newRequest builds the outgoing request.
+func newRequest(to *membership.BackendServer, a *Attempt) *http.Request {
+	header := a.Header.Clone()
+	removeHopByHop(header)
+	header.Set(telemetry.RequestIDHeader, a.RequestID)
+	header.Set(request.TimeoutHeader, remainingMillis(a.Deadline))
+	if header.Get("User-Agent") == "" {
+		header["User-Agent"] = nil
+	}
+	address := to.Address.String()
+	r := &http.Request{
+		Method: a.Method,
+		URL:    &url.URL{Scheme: "http", Host: address, Path: a.Path, RawPath: a.RawPath, RawQuery: a.Query},
+		Host:   address,
+		Header: header,
+	}
+	switch {
+	case a.Body != nil:
+		r.Body, r.ContentLength = a.Body, a.ContentLength
+	case len(a.Held) > 0:
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(a.Held)), int64(len(a.Held))
+	}
+	return r
+}
+
+// hopByHop are the header fields that end at this process. Expect is among
+// them because the caller's side answers it.
+var hopByHop = []string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeHopByHop removes the fields that are for this process alone.
+func removeHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/url"
-	"strings"
-	"sync/atomic"
-	"syscall"
+	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"tanagerbarrow/membership"
-	"tanagerbarrow/request"
 	"tanagerbarrow/telemetry"
 	"tanagerbarrow/verdict"
 )
@@ -30,183 +25,282 @@
 	keepAlivePeriod        = 2 * time.Second
 	userTimeout            = 4 * time.Second
 	idleTimeout            = 30 * time.Second
-	maxIdlePerServer       = 260
+	maxIdlePerServer       = 64
 	maxResponseHeaderBytes = 64 << 10
 )
 
-// Attempt is one try of a request on one backend server.
-type Attempt struct {
-	// Method, Path and Query form the request line.
-	Method, Path, Query string
-	// Header is sent without its hop-by-hop fields.
-	Header http.Header
-	// Body is the request's body, or nil.
-	Body io.ReadCloser
-	// ContentLength is the body's length in bytes, or -1 if unknown.
-	ContentLength int64
-	// RequestID follows the request through every process.
-	RequestID string
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time
-}
-
-// Exchanger sends attempts to backend servers over kept-alive connections.
-type Exchanger struct{ transport *http.Transport }
+// maxInformational bounds the answers of status 1xx before the final one.
+const maxInformational = 8
 
-// NewExchanger returns an exchanger without open connections.
-func NewExchanger() *Exchanger {
-	return &Exchanger{transport: &http.Transport{
-		DialContext:            dial,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerServer,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
-}
-
-// dial opens a connection that notices a silent peer.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: setUserTimeout}
-	c, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+// The codes of failed exchanges.
+const (
+	// CodeDialFailed means that no connection could be opened.
+	CodeDialFailed = "dial_failed"
+	// CodeExchangeFailed means that the connection broke.
+	CodeExchangeFailed = "exchange_failed"
+	// CodeConnectionLost means that a reused connection broke before a byte of
+	// the answer came.
+	CodeConnectionLost = "connection_lost"
+	// CodeAnswerCut means that the answer ended early.
+	CodeAnswerCut = "answer_cut"
+	// CodeSilent means that a reused connection passed no byte in time.
+	CodeSilent = "connection_silent"
+	// CodeRefused means that the backend server refused the request.
+	CodeRefused = "refused"
+	// CodeDeadline means that the caller's deadline passed.
+	CodeDeadline = "deadline"
+	// CodeCallerGone means that the caller closed its connection.
+	CodeCallerGone = "caller_gone"
+	// CodeBodyCut means that the request's body ended early.
+	CodeBodyCut = "body_cut"
+	// CodeBodyTooLarge means that the request's body passed its bound.
+	CodeBodyTooLarge = "body_too_large"
+)
+
+// BackendAtFault reports whether an error of [Exchanger.Exchange] speaks
+// against the backend server, and not against the caller or one connection.
+func BackendAtFault(err error) bool {
+	switch verdict.As(err).Code {
+	case CodeDialFailed, CodeExchangeFailed, CodeAnswerCut:
+		return true
+	default:
+		return false
 	}
-	return &conn{Conn: c}, nil
 }
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var result error
-	err := raw.Control(func(fd uintptr) {
-		result = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// ConnectionAtFault reports whether an error of [Exchanger.Exchange] speaks
+// against one connection only. The same backend server may be tried again.
+func ConnectionAtFault(err error) bool {
+	switch verdict.As(err).Code {
+	case CodeConnectionLost, CodeSilent:
+		return true
+	default:
+		return false
 	}
-	return result
 }
 
-// evidence tracks what one attempt did on the wire.
-type evidence struct {
-	conn atomic.Pointer[conn]
-	mark atomic.Int64
-}
+// Exchanger sends attempts to backend servers over kept-alive connections. It
+// uses the codecs of [net/http], but not its Transport, which resends requests
+// by itself.
+type Exchanger struct{ pool *pool }
 
-// trace returns the hooks that note the attempt's connection. The transport
-// calls GotConn before it writes the request.
-func (e *evidence) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			e.mark.Store(c.mark())
-			e.conn.Store(c)
-		}
-	}}
-}
+// NewExchanger returns an exchanger without open connections.
+func NewExchanger() *Exchanger { return &Exchanger{pool: newPool()} }
 
-// verdict returns NotRun only with proof that no byte was or will be written.
-func (e *evidence) verdict() verdict.Verdict {
-	c := e.conn.Load()
-	if c == nil || c.seal(e.mark.Load()) {
-		return verdict.NotRun
-	}
-	return verdict.MayHaveRun
+// Close closes the idle connections.
+func (x *Exchanger) Close() { x.pool.close() }
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	pool    *pool
+	conn    *conn
+	to      *membership.BackendServer
+	mark    int64
+	started time.Time
+	// unwatch ends the watch on the context. It returns false if the context
+	// ended and the connection was closed.
+	unwatch func() bool
+	// upload is the body being sent while the answer is awaited, or nil.
+	upload *upload
 }
 
 // Exchange sends the attempt once. Its errors are *[verdict.Error]. The caller
-// closes the response's body.
+// closes the response's body and reads it from one goroutine.
 func (x *Exchanger) Exchange(ctx context.Context, to *membership.BackendServer, a *Attempt) (*http.Response, error) {
-	var e evidence
-	ctx = httptrace.WithClientTrace(ctx, e.trace())
-	res, err := x.transport.RoundTrip(newRequest(ctx, to, a))
+	c, err := x.pool.get(ctx, to.Address)
+	if err != nil {
+		return nil, dialFailure(ctx, err, to)
+	}
+	e := &exchange{pool: x.pool, conn: c, to: to, mark: c.mark(), started: time.Now()}
+	e.unwatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	res, err := e.run(a)
 	if err != nil {
-		return nil, failure(ctx, err, e.verdict(), to)
+		return nil, e.fail(ctx, err)
 	}
+	if id := res.Header.Get(telemetry.RequestIDHeader); id != "" && id != a.RequestID {
+		return nil, e.fail(ctx, errors.Newf("answer belongs to request %q", id))
+	}
+	e.attach(res)
 	if refused(res) {
 		_ = res.Body.Close()
-		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "refused",
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeRefused,
 			"backend server %s of service %q refused the request", to.Address, to.Service)
 	}
 	return res, nil
 }
 
-// failure returns the error of a failed exchange.
-func failure(ctx context.Context, err error, v verdict.Verdict, to *membership.BackendServer) error {
-	if ctx.Err() != nil {
-		return verdict.Wrap(err, v, http.StatusGatewayTimeout, "deadline",
-			"no answer of backend server %s of service %q in time", to.Address, to.Service)
+// run writes the request and reads the header of the answer.
+func (e *exchange) run(a *Attempt) (*http.Response, error) {
+	r := newRequest(e.to, a)
+	if a.streams() {
+		e.upload = startUpload(e.conn, r)
+	} else if err := e.write(r); err != nil {
+		return nil, err
+	}
+	if a.SilenceLimit > 0 && e.conn.reused {
+		_ = e.conn.SetReadDeadline(time.Now().Add(a.SilenceLimit))
+	}
+	res, err := e.readHeader(r)
+	if err == nil && a.SilenceLimit > 0 && e.conn.reused {
+		err = e.conn.SetReadDeadline(time.Time{})
 	}
-	return verdict.Wrap(err, v, http.StatusBadGateway, "exchange_failed",
-		"exchange with backend server %s of service %q", to.Address, to.Service)
+	return res, err
 }
 
-// refused reports whether a backend server proves that it did not run the
-// request. A bare 503 proves nothing.
-func refused(res *http.Response) bool {
-	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(RefusedHeader) != ""
+// write writes a request whose body is held.
+func (e *exchange) write(r *http.Request) error {
+	if err := r.Write(e.conn.out); err != nil {
+		return err
+	}
+	return e.conn.out.Flush()
 }
 
-// newRequest builds the outgoing request. It has a body without GetBody even
-// where nothing is to be sent, because [http.Transport] resends a request
-// without a body by itself when a reused connection breaks.
-func newRequest(ctx context.Context, to *membership.BackendServer, a *Attempt) *http.Request {
-	header := a.Header.Clone()
-	removeHopByHop(header)
-	hideKey(header)
-	header.Set(telemetry.RequestIDHeader, a.RequestID)
-	header.Set(request.TimeoutHeader, remainingMillis(a.Deadline))
-	if header.Get("User-Agent") == "" {
-		header["User-Agent"] = nil
-	}
-	r := &http.Request{
-		Method: a.Method,
-		URL:    &url.URL{Scheme: "http", Host: to.Address.String(), Path: a.Path, RawQuery: a.Query},
-		Host:   to.Address.String(),
-		Header: header,
-		Body:   a.Body,
-	}
-	r.ContentLength = a.ContentLength
-	if a.Body == nil {
-		r.Body, r.ContentLength = emptyBody{}, 0
-	}
-	return r.WithContext(ctx)
-}
-
-// emptyBody is a body of no bytes that the transport cannot tell from one with
-// bytes, so that it never resends the request.
-type emptyBody struct{}
-
-// Read returns io.EOF.
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-
-// Close does nothing.
-func (emptyBody) Close() error { return nil }
-
-// hideKey moves the idempotency key under a name in lower case. The name on
-// the wire means the same, but [http.Transport] looks for the canonical name
-// and resends requests that have it.
-func hideKey(h http.Header) {
-	for _, name := range []string{request.KeyHeader, "X-Idempotency-Key"} {
-		if values, ok := h[name]; ok {
-			delete(h, name)
-			h[strings.ToLower(name)] = values
+// readHeader reads the header of the final answer.
+func (e *exchange) readHeader(r *http.Request) (*http.Response, error) {
+	for range maxInformational {
+		e.conn.headerLeft = maxResponseHeaderBytes
+		res, err := http.ReadResponse(e.conn.in, r)
+		e.conn.headerLeft = -1
+		switch {
+		case err != nil:
+			return nil, err
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("answer switches protocols without being asked to")
+		case res.StatusCode >= http.StatusOK:
+			return res, nil
 		}
 	}
+	return nil, errors.Newf("more than %d informational answers", maxInformational)
 }
 
-// hopByHop are the header fields that end at this process.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// fail gives the connection up and returns the error of the exchange.
+func (e *exchange) fail(ctx context.Context, err error) error {
+	untouched := e.conn.seal(e.mark)
+	e.abandon()
+	v := verdict.MayHaveRun
+	if untouched {
+		v = verdict.NotRun
+	}
+	if cause := e.upload.failure(); cause != nil {
+		return bodyFailure(cause, v, e.to)
+	}
+	status, code := classify(ctx, CodeExchangeFailed)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, unix.ETIMEDOUT):
+		code = CodeSilent
+	case e.conn.reused && !e.conn.received:
+		code = CodeConnectionLost
+	}
+	if (code == CodeDeadline || code == CodeSilent) && !e.conn.received {
+		e.pool.condemn(e.to.Address, e.started)
+	}
+	return verdict.Wrap(err, v, status, code,
+		"exchange with backend server %s of service %q", e.to.Address, e.to.Service)
 }
 
-// removeHopByHop removes the fields that are for this process alone.
-func removeHopByHop(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
+// abandon closes the connection.
+func (e *exchange) abandon() {
+	e.unwatch()
+	_ = e.conn.Close()
+}
+
+// finish takes the connection back after a whole answer if it is fit for
+// another exchange.
+func (e *exchange) finish(res *http.Response) {
+	watched := e.unwatch()
+	if !watched || res.Close || !e.upload.complete() || e.conn.in.Buffered() > 0 {
+		_ = e.conn.Close()
+		return
+	}
+	e.pool.put(e.conn)
+}
+
+// attach makes the answer's body end the exchange.
+func (e *exchange) attach(res *http.Response) {
+	if res.Body == http.NoBody {
+		e.finish(res)
+		return
+	}
+	res.Body = &answerBody{in: res.Body, exchange: e, res: res}
+}
+
+// answerBody is the body of an answer. Its end ends the exchange.
+type answerBody struct {
+	in       io.ReadCloser
+	exchange *exchange
+	res      *http.Response
+	ended    error
+}
+
+// Read reads the answer. Any error but [io.EOF] means that it was cut.
+func (b *answerBody) Read(p []byte) (int, error) {
+	if b.ended != nil {
+		return 0, b.ended
+	}
+	n, err := b.in.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	b.ended = err
+	if errors.Is(err, io.EOF) {
+		b.exchange.finish(b.res)
+	} else {
+		b.exchange.abandon()
+	}
+	return n, err
+}
+
+// Close gives the connection up unless the whole answer was read.
+func (b *answerBody) Close() error {
+	if b.ended == nil {
+		b.ended = http.ErrBodyReadAfterClose
+		b.exchange.abandon()
 	}
-	for _, name := range hopByHop {
-		h.Del(name)
+	return nil
+}
+
+// classify returns the status and the code of a failure: those of the ended
+// context if it caused the failure, else the given code.
+func classify(ctx context.Context, code string) (status int, cause string) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return http.StatusGatewayTimeout, CodeDeadline
+	case ctx.Err() != nil:
+		return http.StatusGatewayTimeout, CodeCallerGone
+	default:
+		return http.StatusBadGateway, code
+	}
+}
+
+// dialFailure returns the error of a connection that could not be opened.
+func dialFailure(ctx context.Context, err error, to *membership.BackendServer) error {
+	status, code := classify(ctx, CodeDialFailed)
+	return verdict.Wrap(err, verdict.NotRun, status, code,
+		"connect to backend server %s of service %q", to.Address, to.Service)
+}
+
+// bodyFailure returns the error of a request whose body could not be read.
+func bodyFailure(err error, v verdict.Verdict, to *membership.BackendServer) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return verdict.Wrap(err, v, http.StatusRequestEntityTooLarge, CodeBodyTooLarge,
+			"the body has more than %d bytes", tooLarge.Limit)
 	}
+	return verdict.Wrap(err, v, http.StatusBadRequest, CodeBodyCut,
+		"read the body for service %q", to.Service)
+}
+
+// AnswerCut returns the error of an answer of the backend server whose reading
+// failed.
+func AnswerCut(ctx context.Context, err error, to *membership.BackendServer) error {
+	status, code := classify(ctx, CodeAnswerCut)
+	return verdict.Wrap(err, verdict.MayHaveRun, status, code,
+		"read the answer of backend server %s of service %q", to.Address, to.Service)
+}
+
+// refused reports whether a backend server proves that it did not run the
+// request. A bare 503 proves nothing.
+func refused(res *http.Response) bool {
+	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(RefusedHeader) != ""
 }
--- /dev/null
+++ b/backend/pool.go
@@ -0,0 +1,129 @@
+package backend
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// pool keeps idle connections to backend servers.
+type pool struct {
+	mu      sync.Mutex
+	servers map[netip.AddrPort]*idleConns
+	reaper  *time.Timer
+	closed  bool
+}
+
+// idleConns are the idle connections to one backend server, the newest last.
+type idleConns struct{ conns []*conn }
+
+// newPool returns a pool without connections.
+func newPool() *pool { return &pool{servers: map[netip.AddrPort]*idleConns{}} }
+
+// get returns an idle connection or opens one.
+func (p *pool) get(ctx context.Context, to netip.AddrPort) (*conn, error) {
+	for c := p.take(to); c != nil; c = p.take(to) {
+		if c.quiet() {
+			c.reused = true
+			c.received = false
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	return dial(ctx, to)
+}
+
+// take removes the newest idle connection, or returns nil.
+func (p *pool) take(to netip.AddrPort) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle, ok := p.servers[to]
+	if !ok || len(idle.conns) == 0 {
+		return nil
+	}
+	last := len(idle.conns) - 1
+	c := idle.conns[last]
+	idle.conns[last] = nil
+	idle.conns = idle.conns[:last]
+	return c
+}
+
+// put takes back a connection that carried a whole answer, or closes it.
+func (p *pool) put(c *conn) {
+	p.mu.Lock()
+	idle := p.servers[c.address]
+	if idle == nil {
+		idle = &idleConns{}
+		p.servers[c.address] = idle
+	}
+	if p.closed || len(idle.conns) >= maxIdlePerServer {
+		p.mu.Unlock()
+		_ = c.Close()
+		return
+	}
+	c.proven = time.Now()
+	idle.conns = append(idle.conns, c)
+	if p.reaper == nil {
+		p.reaper = time.AfterFunc(idleTimeout, p.reap)
+	}
+	p.mu.Unlock()
+}
+
+// condemn closes the idle connections that carried no whole answer since an
+// exchange started that went silent: what lost track of that connection may
+// have lost track of them.
+func (p *pool) condemn(address netip.AddrPort, started time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if idle, ok := p.servers[address]; ok {
+		idle.closeOlder(started)
+	}
+}
+
+// reap closes connections that were idle for too long.
+func (p *pool) reap() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reaper = nil
+	cut := time.Now().Add(-idleTimeout)
+	for address, idle := range p.servers {
+		idle.closeOlder(cut)
+		if len(idle.conns) == 0 {
+			delete(p.servers, address)
+		}
+	}
+	if len(p.servers) > 0 && !p.closed {
+		p.reaper = time.AfterFunc(idleTimeout/2, p.reap)
+	}
+}
+
+// closeOlder closes the connections that were last proven before the time.
+func (i *idleConns) closeOlder(than time.Time) {
+	kept := i.conns[:0]
+	for _, c := range i.conns {
+		if c.proven.Before(than) {
+			_ = c.Close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(i.conns[len(kept):])
+	i.conns = kept
+}
+
+// close closes every idle connection and takes none back.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.reaper != nil {
+		p.reaper.Stop()
+	}
+	for _, idle := range p.servers {
+		for _, c := range idle.conns {
+			_ = c.Close()
+		}
+		idle.conns = nil
+	}
+}
--- a/caller/front.go
+++ b/caller/front.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
@@ -61,7 +60,7 @@
 func (f *Front) serve(c echo.Context) error {
 	start := time.Now()
 	h := c.Request()
-	id := uuid.NewString()
+	id := request.NewID()
 	c.Response().Header().Set(telemetry.RequestIDHeader, id)
 	r, err := f.classify(h, start)
 	if err != nil {
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -1,19 +1,19 @@
 package dispatch
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
+	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
 )
 
 // body is a request's body as attempts use it.
 type body interface {
-	// reader returns the body for the next attempt, or nil if there is none.
-	reader() io.ReadCloser
+	// attach gives the body, of the stated length or -1, to the next attempt.
+	attach(a *backend.Attempt, length int64)
 	// replayable reports whether another attempt could send the whole body.
 	replayable() bool
 }
@@ -29,12 +29,7 @@
 // heldBody is a body held in memory.
 type heldBody []byte
 
-func (b heldBody) reader() io.ReadCloser {
-	if len(b) == 0 {
-		return nil
-	}
-	return io.NopCloser(bytes.NewReader(b))
-}
+func (b heldBody) attach(a *backend.Attempt, _ int64) { a.Held = b }
 
 func (b heldBody) replayable() bool { return true }
 
@@ -45,7 +40,9 @@
 	touched atomic.Bool
 }
 
-func (b *streamedBody) reader() io.ReadCloser { return io.NopCloser(b) }
+func (b *streamedBody) attach(a *backend.Attempt, length int64) {
+	a.Body, a.ContentLength = io.NopCloser(b), length
+}
 
 func (b *streamedBody) replayable() bool { return !b.touched.Load() }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
 	"tanagerbarrow/ledger"
@@ -24,6 +22,10 @@
 // maxAttempts bounds the backend servers that one request is sent to.
 const maxAttempts = 3
 
+// silenceLimit bounds the wait of an idempotent request for the first byte of
+// its answer on a reused connection, which may have gone silent.
+const silenceLimit = 2 * time.Second
+
 // Exchanger sends one attempt to one backend server.
 type Exchanger interface {
 	// Exchange returns the answer or an error that carries a verdict.
@@ -76,12 +78,14 @@
 		if to == nil {
 			break
 		}
-		tried = append(tried, to.Address)
 		res, err := d.send(ctx, to, r, h, body)
 		if err == nil {
 			return res, nil
 		}
 		last = err
+		if !backend.ConnectionAtFault(err) {
+			tried = append(tried, to.Address)
+		}
 		if ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
 			break
 		}
@@ -141,31 +145,49 @@
 	return c.(*balance.InFlight)
 }
 
-// send sends one attempt and counts it until its answer is closed.
+// send sends one attempt and counts it until its answer is whole or closed. It
+// holds the beginning of the answer, so that an answer cut there is an error.
 func (d *Dispatcher) send(
 	ctx context.Context, to *membership.BackendServer, r *request.Request, h *http.Request, b body,
 ) (*http.Response, error) {
 	count := d.counter(to.Address)
 	count.Add(1)
-	res, err := d.Exchanger.Exchange(ctx, to, &backend.Attempt{
-		Method: h.Method, Path: h.URL.Path, Query: h.URL.RawQuery, Header: h.Header,
-		Body: b.reader(), ContentLength: h.ContentLength,
-		RequestID: r.ID, Deadline: r.Deadline,
-	})
+	res, err := d.Exchanger.Exchange(ctx, to, newAttempt(r, h, b))
+	whole := false
+	if err == nil {
+		whole, err = holdAnswer(ctx, res, to)
+	}
 	if err != nil {
 		count.Add(-1)
-		if ctx.Err() == nil {
+		if backend.BackendAtFault(err) {
 			d.ejector.Failed(to.Address, time.Now())
 		}
 		return nil, err
 	}
 	d.ejector.Succeeded(to.Address)
+	if whole {
+		count.Add(-1)
+		return res, nil
+	}
 	res.Body = &countedBody{ReadCloser: res.Body, count: count}
 	return res, nil
 }
 
+// newAttempt returns an attempt at the request.
+func newAttempt(r *request.Request, h *http.Request, b body) *backend.Attempt {
+	a := &backend.Attempt{
+		Method: h.Method, Path: h.URL.Path, RawPath: h.URL.RawPath, Query: h.URL.RawQuery, Header: h.Header,
+		RequestID: r.ID, Deadline: r.Deadline,
+	}
+	if r.Class == request.Read {
+		a.SilenceLimit = silenceLimit
+	}
+	b.attach(a, h.ContentLength)
+	return a
+}
+
 // newToken returns a token that identifies one arrival.
-func newToken() string { return uuid.NewString() }
+func newToken() string { return request.NewID() }
 
 // settleTimeout bounds the storing of an order's outcome, also after the
 // caller has gone.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -1,9 +1,9 @@
 package telemetry
 
 import (
-	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,6 +34,9 @@
 	// Set holds every metric of the process.
 	Set *metrics.Set
 
+	known      sync.Map // series to instruments
+	knownCount atomic.Int64
+
 	mu       sync.Mutex
 	accounts map[string]bool
 }
@@ -45,13 +48,9 @@
 
 // Request records one finished request.
 func (m *Metrics) Request(service, account, class, verdict string, status int, took time.Duration) {
-	account = m.bounded(account)
-	m.Set.GetOrCreateHistogram(fmt.Sprintf(
-		`tanagerbarrow_request_seconds{service=%q,client_account=%q,class=%q}`,
-		service, account, class)).Update(took.Seconds())
-	m.Set.GetOrCreateCounter(fmt.Sprintf(
-		`tanagerbarrow_requests_total{service=%q,verdict=%q,status="%d"}`,
-		service, verdict, status)).Inc()
+	found := m.instruments(series{service, m.bounded(account), class, verdict, status})
+	found.seconds.Update(took.Seconds())
+	found.requests.Inc()
 }
 
 // bounded returns the account, or "other" once too many accounts were seen.
