Never promise more than the weakest attempt proved

Cause: the error of a retried read carried the verdict of its last attempt. A read that may have run on a first backend server and met a refused dial on the second was reported as NotRun.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -57,9 +57,9 @@
 	CodeBodyTooLarge = "body_too_large"
 )
 
-// BackendAtFault reports whether an error of [Exchanger.Exchange] speaks
+// ServerAtFault reports whether an error of [Exchanger.Exchange] speaks
 // against the backend server, and not against the caller or one connection.
-func BackendAtFault(err error) bool {
+func ServerAtFault(err error) bool {
 	switch verdict.As(err).Code {
 	case CodeDialFailed, CodeExchangeFailed, CodeAnswerCut:
 		return true
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -82,7 +82,7 @@
 		if err == nil {
 			return res, nil
 		}
-		last = err
+		last = weaker(last, err)
 		if !backend.ConnectionAtFault(err) {
 			tried = append(tried, to.Address)
 		}
@@ -96,6 +96,17 @@
 	return nil, last
 }
 
+// weaker returns the newer error, but never lets it promise more than the
+// earlier one: a request that may have run in one attempt may have run.
+func weaker(earlier, newer error) error {
+	if earlier == nil || verdict.Of(earlier) == verdict.NotRun || verdict.Of(newer) != verdict.NotRun {
+		return newer
+	}
+	e := *verdict.As(newer)
+	e.Verdict = verdict.Of(earlier)
+	return &e
+}
+
 // mayRetry reports whether the request may be sent again after err. A request
 // that is not idempotent needs proof that it did not run.
 func mayRetry(r *request.Request, err error, body body) bool {
@@ -159,7 +170,7 @@
 	}
 	if err != nil {
 		count.Add(-1)
-		if backend.BackendAtFault(err) {
+		if backend.ServerAtFault(err) {
 			d.ejector.Failed(to.Address, time.Now())
 		}
 		return nil, err
