--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
 	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
@@ -130,8 +131,10 @@
 		a.Kind = balance.TimedOut
 	case ctx.Err() != nil:
 		a.Kind = balance.Cancelled
-	case errors.As(err, &e) && e.Code == "refused":
+	case errors.As(err, &e) && e.Code == backend.CodeRefused:
 		a.Kind = balance.Refused
+	case !backend.ServerAtFault(err):
+		a.Kind = balance.Cancelled
 	default:
 		a.Kind = balance.Broken
 	}
