--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
@@ -21,6 +20,10 @@
 // maxAttempts bounds the backend servers that one request is sent to.
 const maxAttempts = 3
 
+// silenceLimit bounds the wait of an idempotent request for the first byte of
+// its answer on a reused connection, which may have gone silent.
+const silenceLimit = 2 * time.Second
+
 // Exchanger sends one attempt to one backend server.
 type Exchanger interface {
 	// Exchange returns the answer or an error that carries a verdict.
@@ -67,12 +70,15 @@
 			last = d.reserveError(r, err, last)
 			break
 		}
-		tried = append(tried, started.Server.Record.Address)
+		to := started.Server.Record.Address
 		res, err := d.send(ctx, started, r, h, body)
 		if err == nil {
 			return res, nil
 		}
-		last = err
+		last = weaker(last, err)
+		if !backend.ConnectionAtFault(err) {
+			tried = append(tried, to)
+		}
 		if ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
 			break
 		}
@@ -93,6 +99,17 @@
 	}
 }
 
+// weaker returns the newer error, but never lets it promise more than the
+// earlier one: a request that may have run in one attempt may have run.
+func weaker(earlier, newer error) error {
+	if earlier == nil || verdict.Of(earlier) == verdict.NotRun || verdict.Of(newer) != verdict.NotRun {
+		return newer
+	}
+	e := *verdict.As(newer)
+	e.Verdict = verdict.Of(earlier)
+	return &e
+}
+
 // mayRetry reports whether the request may be sent again after err. A request
 // that is not idempotent needs proof that it did not run.
 func mayRetry(r *request.Request, err error, body body) bool {
@@ -108,27 +125,46 @@
 		"service %q has no backend server in regions %q", r.Service.Name, r.HomeRegions)
 }
 
-// send sends one attempt and counts it until its answer is closed.
+// send sends one attempt and counts it until its answer is whole or closed. It
+// holds the beginning of the answer, so that an answer cut there is an error.
 func (d *Dispatcher) send(
 	ctx context.Context, on balance.Started, r *request.Request, h *http.Request, b body,
 ) (*http.Response, error) {
 	start := time.Now()
-	res, err := d.Exchanger.Exchange(ctx, &on.Server.Record, &backend.Attempt{
-		Method: h.Method, Path: h.URL.Path, Query: h.URL.RawQuery, Header: h.Header,
-		Body: b.reader(), ContentLength: h.ContentLength,
-		RequestID: r.ID, Deadline: r.Deadline,
-	})
+	to := &on.Server.Record
+	res, err := d.Exchanger.Exchange(ctx, to, newAttempt(r, h, b))
+	whole := false
+	if err == nil {
+		whole, err = holdAnswer(ctx, res, to)
+	}
 	answer := answerOf(ctx, res, err, time.Since(start))
 	if err != nil {
 		d.Balancer.Release(on, answer)
 		return nil, err
 	}
+	if whole {
+		d.Balancer.Release(on, answer)
+		return res, nil
+	}
 	res.Body = &countedBody{ReadCloser: res.Body, release: func() { d.Balancer.Release(on, answer) }}
 	return res, nil
 }
 
+// newAttempt returns an attempt at the request.
+func newAttempt(r *request.Request, h *http.Request, b body) *backend.Attempt {
+	a := &backend.Attempt{
+		Method: h.Method, Path: h.URL.Path, RawPath: h.URL.RawPath, Query: h.URL.RawQuery, Header: h.Header,
+		RequestID: r.ID, Deadline: r.Deadline,
+	}
+	if r.Class == request.Read {
+		a.SilenceLimit = silenceLimit
+	}
+	b.attach(a, h.ContentLength)
+	return a
+}
+
 // newToken returns a token that identifies one arrival.
-func newToken() string { return uuid.NewString() }
+func newToken() string { return request.NewID() }
 
 // settleTimeout bounds the storing of an order's outcome, also after the
 // caller has gone.
