Stop entries gracefully and let returned zones ramp

Cause: an entry closed its listeners the moment it turned unready, so that the platform's balancer still sent it connections; an entry in a zone that is out kept its callers' connections; a zone that came back got its whole share at once; and a backend server whose answers show that it leaves still got work.

Now an entry that stops turns unready, hands its leases over, marks answers with "Connection: close" for the new setting stop-delay (5 s), and only then closes its listeners and finishes what it has. Entries in a zone that is out mark their answers alike. A returned zone takes a share of choices that grows over 10 s from the version that brought it back, except where nothing else is left. The header Tanagerbarrow-State: leaving ends a generation at every entry.

Ruled out: http.Server.SetKeepAlivesEnabled, because it closes idle connections at once and so cuts a request that a caller is just sending.

--- a/backend/announce.go
+++ b/backend/announce.go
@@ -19,6 +19,10 @@
 // AnnounceKeyHeader carries the announcement key.
 const AnnounceKeyHeader = "Tanagerbarrow-Announce-Key"
 
+// StateHeader with the value "leaving" on an answer or a refusal says that the
+// backend server leaves; it then gets no new work in its generation.
+const StateHeader = "Tanagerbarrow-State"
+
 // maxAnnounceBytes bounds an announcement, in bytes.
 const maxAnnounceBytes = 4 << 10
 
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -82,7 +82,13 @@
 // Exchanger sends attempts to backend servers over kept-alive connections. It
 // uses the codecs of [net/http], but not its Transport, which resends requests
 // by itself.
-type Exchanger struct{ pool *pool }
+type Exchanger struct {
+	// Leaving, if set, is told of backend servers whose answers say that they
+	// leave.
+	Leaving func(*membership.BackendServer)
+
+	pool *pool
+}
 
 // NewExchanger returns an exchanger without open connections.
 func NewExchanger() *Exchanger { return &Exchanger{pool: newPool()} }
@@ -121,6 +127,9 @@
 		return nil, e.fail(ctx, errors.Newf("answer belongs to request %q", id))
 	}
 	e.attach(res)
+	if x.Leaving != nil && res.Header.Get(StateHeader) == string(membership.Leaving) {
+		x.Leaving(to)
+	}
 	if refused(res) {
 		_ = res.Body.Close()
 		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeRefused,
--- a/balance/choices.go
+++ b/balance/choices.go
@@ -43,6 +43,8 @@
 	Regions map[string]string
 	// Hops are the round trips from here.
 	Hops Hops
+	// Returned says when availability zones that were out came back.
+	Returned map[string]time.Time
 }
 
 // Choices are the backend servers among which an entry chooses, for one view of
@@ -63,6 +65,8 @@
 	server *Server
 	region string
 	hop    int64 // nanoseconds
+	// returned is when the zone came back, in nanoseconds of Unix time, or zero.
+	returned int64
 }
 
 // NewChoices returns the choices of an entry at the place. Availability zones
@@ -90,6 +94,9 @@
 func (s *service) add(b *Server, at Place) {
 	zone := b.Record.AvailabilityZone
 	c := candidate{server: b, region: at.Regions[zone]}
+	if since, ok := at.Returned[zone]; ok {
+		c.returned = since.UnixNano()
+	}
 	switch {
 	case zone == at.AvailabilityZone:
 		s.near = append(s.near, c)
@@ -138,6 +145,11 @@
 	if p.best == nil || p.cost > s.farHop() {
 		p.look(s.far, farLooked, unknownLoad)
 	}
+	if p.best == nil && p.ramping && !p.full {
+		p.whole = true
+		p.look(s.near, nearLooked, 0)
+		p.look(s.far, farLooked, unknownLoad)
+	}
 	if p.best == nil && p.ejected {
 		p.healthy = false
 		p.look(s.near, nearLooked, 0)
@@ -171,6 +183,9 @@
 	best           *Server
 	cost           int64
 	full, ejected  bool
+	// ramping says that the ramp of a returned zone kept backend servers out,
+	// whole that it no longer does.
+	ramping, whole bool
 }
 
 // look compares up to most backend servers from a random start.
@@ -202,6 +217,10 @@
 	if !p.query.allows(c) {
 		return false
 	}
+	if c.returned > 0 && !p.whole && !rampAdmits(p.query.Now-c.returned, p.query.Random) {
+		p.ramping = true
+		return false
+	}
 	s := c.server
 	if p.healthy && s.Ejection.Ejected(p.query.Now) {
 		p.ejected = true
--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -49,6 +49,7 @@
 		Controls: 1, Entries: 2,
 		Zones:     map[string]string{"arkhangai-a": "arkhangai", "arkhangai-b": "arkhangai"},
 		ZoneOrder: []string{"arkhangai-a", "arkhangai-b"},
+		Extra:     "[limits]\nstop-delay = 100ms",
 	})
 	if err != nil {
 		return err
--- a/bench/standin/script.go
+++ b/bench/standin/script.go
@@ -25,10 +25,6 @@
 // in progress for each slot.
 const LoadHeader = "Tanagerbarrow-Load"
 
-// StateHeader with the value "leaving" on an answer says that the backend
-// server drains.
-const StateHeader = "Tanagerbarrow-State"
-
 // Script is how a stand-in behaves. The zero value answers as fast as it can.
 type Script struct {
 	// ServiceMillis is how long a request takes, in milliseconds.
--- a/bench/standin/serve.go
+++ b/bench/standin/serve.go
@@ -181,7 +181,7 @@
 // report sets the headers by which the stand-in tells of itself.
 func (s *Server) report(w http.ResponseWriter, script *Script) {
 	if script.Draining {
-		w.Header().Set(StateHeader, "leaving")
+		w.Header().Set(backend.StateHeader, "leaving")
 	}
 	load := script.ReportLoad
 	if load < 0 {
--- a/bench/standin/standin_test.go
+++ b/bench/standin/standin_test.go
@@ -71,7 +71,7 @@
 		"draining": {
 			Script{Draining: true},
 			"", http.StatusOK,
-			func(h http.Header) bool { return h.Get(StateHeader) == "leaving" },
+			func(h http.Header) bool { return h.Get(backend.StateHeader) == "leaving" },
 		},
 		"lying":   {Script{ReportLoad: 0.01}, "", http.StatusOK, func(h http.Header) bool { return h.Get(LoadHeader) == "0.01" }},
 		"crash":   {Script{CrashOnMark: true}, CrashHeader, 0, nil},
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -33,6 +33,9 @@
 	Configuration func() *state.Configuration
 	// Place is where the entry stands.
 	Place balance.Place
+	// Returned says when availability zones that were out came back; nil means
+	// that none was out.
+	Returned func() map[string]time.Time
 	// Loads are the requests in progress.
 	Loads *balance.Loads
 
@@ -66,8 +69,12 @@
 	if have != nil && have.view == view && have.config == config {
 		return have
 	}
+	place := b.Place
+	if b.Returned != nil {
+		place.Returned = b.Returned()
+	}
 	next := &choices{
-		Choices: balance.NewChoices(b.Loads, view, config, b.Place, time.Now()),
+		Choices: balance.NewChoices(b.Loads, view, config, place, time.Now()),
 		view:    view, config: config,
 	}
 	b.current.Store(next)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"tanagerbarrow/backend"
+	"tanagerbarrow/balance"
 	"tanagerbarrow/caller"
 	"tanagerbarrow/dispatch"
 	"tanagerbarrow/limit"
@@ -18,6 +20,7 @@
 	"tanagerbarrow/peer"
 	"tanagerbarrow/platform"
 	"tanagerbarrow/settings"
+	"tanagerbarrow/state"
 	"tanagerbarrow/telemetry"
 )
 
@@ -28,6 +31,9 @@
 	reasonZoneOut         = "availability zone out"
 )
 
+// handOverTimeout bounds the handing over of leases when the entry stops.
+const handOverTimeout = 2 * time.Second
+
 // Entry is one entry process.
 type Entry struct {
 	settings  *settings.Settings
@@ -37,6 +43,7 @@
 	links     links
 	members   *membership.Node
 	follower  *follower
+	returns   balance.Returns
 	balancer  *dispatch.Balancer
 	sharer    *loadSharer
 	peers     *peer.Server
@@ -56,6 +63,7 @@
 	e.members = newNode(s, e.links)
 	controls := clients(s, s.ControlHosts)
 	e.follower = newFollower(s, controls, log)
+	e.follower.prepare = func(c *state.Configuration) { e.returns.Apply(c.ZonesOut, time.Now()) }
 	e.follower.applied = e.configurationApplied
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
 	handleMembership(e.peers, e.members)
@@ -83,7 +91,7 @@
 	front := &caller.Front{
 		Configuration: e.follower.current,
 		Dispatcher: &dispatch.Dispatcher{
-			Exchanger: backend.NewExchanger(),
+			Exchanger: e.newExchanger(),
 			Claims:    &claims{controls: controls},
 			Retries:   limit.NewRetryBudget(),
 			Balancer:  e.balancer,
@@ -100,6 +108,13 @@
 	return routes
 }
 
+// newExchanger returns an exchanger that notes backend servers that leave.
+func (e *Entry) newExchanger() *backend.Exchanger {
+	x := backend.NewExchanger()
+	x.Leaving = e.members.Leave
+	return x
+}
+
 // adminRoutes returns the routes for backend servers and the platform.
 func (e *Entry) adminRoutes() *echo.Echo {
 	routes := platform.NewEcho()
@@ -134,10 +149,18 @@
 	return errors.CombineErrors(err, g.Wait())
 }
 
-// shutdown turns unready, finishes requests in progress and closes listeners.
+// shutdown stops gracefully: it turns unready, hands the leases over, tells
+// kept-alive connections to close, gives the platform's balancer time to see it,
+// finishes requests in progress and closes listeners.
 func (e *Entry) shutdown() error {
 	e.ready.Set(reasonStopping, true)
-	err := e.callers.Shutdown(e.settings.Limits.DrainTimeout)
+	e.callers.CloseKeptAlive(true)
+	delay := time.After(e.settings.Limits.StopDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	err := e.members.HandOver(ctx)
+	<-delay
+	err = errors.CombineErrors(err, e.callers.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.peerLinks.Close())
 	e.peers.Close()
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -24,7 +24,8 @@
 	controls []*peer.Client
 	log      zerolog.Logger
 	config   atomic.Pointer[state.Configuration]
-	applied  func(*state.Configuration)
+	// prepare runs before a configuration is in force, applied after it.
+	prepare, applied func(*state.Configuration)
 }
 
 // newFollower returns a follower of the control hosts.
@@ -72,6 +73,7 @@
 	if have != nil && have.Version >= c.Version {
 		return
 	}
+	f.prepare(c)
 	f.config.Store(c)
 	f.log.Info().Uint64("version", c.Version).Msg("configuration in force")
 	f.applied(c)
@@ -80,7 +82,9 @@
 // configurationApplied updates readiness after a change.
 func (e *Entry) configurationApplied(c *state.Configuration) {
 	e.ready.Set(reasonNoConfiguration, false)
-	e.ready.Set(reasonZoneOut, c.ZonesOut[e.settings.Host.AvailabilityZone])
+	out := c.ZonesOut[e.settings.Host.AvailabilityZone]
+	e.ready.Set(reasonZoneOut, out)
+	e.callers.CloseKeptAlive(out)
 }
 
 // pause waits, or returns early when ctx ends.
--- a/entry/loadshare.go
+++ b/entry/loadshare.go
@@ -55,16 +55,11 @@
 // newBalancer returns the balancer of an entry.
 func (e *Entry) newBalancer() *dispatch.Balancer {
 	s := e.settings
-	live := func() []string {
-		var names []string
-		for _, h := range e.members.Hosts().LiveInRegion(s.Region()) {
-			names = append(names, h.Name)
-		}
-		return names
-	}
+	live := func() []string { return e.members.Hosts().LiveNames(s.Region()) }
 	return &dispatch.Balancer{
 		Members:       e.members.Table().View,
 		Configuration: e.follower.current,
+		Returned:      e.returns.Since,
 		Place: balance.Place{
 			AvailabilityZone: s.Host.AvailabilityZone, Regions: s.Regions, Hops: balance.DefaultHops(),
 		},
--- a/membership/hosts.go
+++ b/membership/hosts.go
@@ -78,7 +78,14 @@
 
 	mu   sync.Mutex
 	all  map[string]*hostRecord
-	live atomic.Pointer[[]Host]
+	live atomic.Pointer[liveHosts]
+}
+
+// liveHosts is an immutable picture of the live hosts.
+type liveHosts struct {
+	all []Host
+	// names are the hosts' names by region.
+	names map[string][]string
 }
 
 // NewHosts returns the hosts that the settings list. self is this process.
@@ -98,7 +105,11 @@
 
 // Live returns the live hosts in order of name. It takes no lock, and the
 // result must not be changed.
-func (h *Hosts) Live() []Host { return *h.live.Load() }
+func (h *Hosts) Live() []Host { return h.live.Load().all }
+
+// LiveNames returns the names of the live hosts of a region in order. It takes
+// no lock, and the result must not be changed.
+func (h *Hosts) LiveNames(region string) []string { return h.live.Load().names[region] }
 
 // LiveIn returns the live hosts of an availability zone in order of name.
 func (h *Hosts) LiveIn(zone string) []Host {
@@ -123,14 +134,17 @@
 
 // publish makes the list of live hosts; the caller holds the lock.
 func (h *Hosts) publish() {
-	var live []Host
+	live := &liveHosts{names: map[string][]string{}}
 	for _, r := range h.all {
 		if r.state.Status <= Suspect {
-			live = append(live, r.place)
+			live.all = append(live.all, r.place)
 		}
 	}
-	slices.SortFunc(live, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
-	h.live.Store(&live)
+	slices.SortFunc(live.all, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	for _, x := range live.all {
+		live.names[x.Region] = append(live.names[x.Region], x.Name)
+	}
+	h.live.Store(live)
 }
 
 // OriginAlive reports whether the origin is the current life of a live host.
--- a/settings/load.go
+++ b/settings/load.go
@@ -174,6 +174,7 @@
 	r.duration("idle-timeout", &l.IdleTimeout)
 	r.duration("request-timeout", &l.RequestTimeout)
 	r.duration("drain-timeout", &l.DrainTimeout)
+	r.duration("stop-delay", &l.StopDelay)
 	r.duration("lease-duration", &l.LeaseDuration)
 	connections := int64(l.MaxConnections)
 	r.bytes("max-connections", &connections)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,9 @@
 	MaxConnections int
 	// DrainTimeout bounds a graceful shutdown; 30s by default.
 	DrainTimeout time.Duration
+	// StopDelay is the time between an entry's turning unready and the closing
+	// of its listeners, so that the platform's balancer sees it; 5s by default.
+	StopDelay time.Duration
 	// LeaseDuration is the lease of a backend server; 3s by default.
 	LeaseDuration time.Duration
 }
@@ -96,6 +99,7 @@
 		RequestTimeout:    30 * time.Second,
 		MaxConnections:    20000,
 		DrainTimeout:      30 * time.Second,
+		StopDelay:         5 * time.Second,
 		LeaseDuration:     3 * time.Second,
 	}
 }
