--- a/cmd/tanagerctl/main.go
+++ b/cmd/tanagerctl/main.go
@@ -3,163 +3,117 @@
 package main
 
 import (
-	"encoding/json"
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/user"
-	"slices"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/operator"
-	"tanagerbarrow/state"
 )
 
 // The exit statuses besides 0.
 const (
-	exitFailed  = 1
-	exitRefused = 3
+	exitFailed       = 1
+	exitUsage        = 2
+	exitRefused      = 3
+	exitNotInForce   = 4
+	exitUnauthorized = 5
 )
 
+// overview is the first paragraph of the help.
+const overview = `Operate tanagerbarrow: state an intent, read the plan, confirm it.
+
+Nothing happens before the confirmation. "apply" does all three at a terminal;
+"plan" and "confirm" do them one at a time. A command that got no answer can be
+sent again with the same --command-id, to any server: it gets its first answer
+and never takes effect twice.
+
+Exit status: 0 done, 1 failed, 2 wrong usage, 3 refused, 4 accepted but not yet
+in force on every entry, 5 the operator key was refused.`
+
 // options are the flags of every command.
 type options struct {
-	server, key, operator string
-	json                  bool
+	servers       []string
+	key, operator string
+	ca            string
+	json          bool
 }
 
 func main() {
 	var o options
-	app := kingpin.New("tanagerctl", "Operate tanagerbarrow: state an intent, read the plan, confirm it.")
-	app.Flag("server", "Administration API of a control host, as URL.").Envar("TANAGERCTL_SERVER").
-		Default("http://127.0.0.1:7401").StringVar(&o.server)
+	app := kingpin.New("tanagerctl", overview)
+	app.Flag("server", "Administration API of a control host, as URL; repeat it, or separate by commas, to try several in turn.").
+		Envar("TANAGERCTL_SERVER").Default("http://127.0.0.1:7401").StringsVar(&o.servers)
 	app.Flag("key", "Operator key.").Envar("TANAGERCTL_KEY").Required().StringVar(&o.key)
+	app.Flag("ca", "File of the certificate authorities in PEM form, for https servers.").
+		Envar("TANAGERCTL_CA").StringVar(&o.ca)
 	app.Flag("operator", "Name for the audit log.").Default(loginName()).StringVar(&o.operator)
 	app.Flag("json", "Print JSON in place of tables.").BoolVar(&o.json)
+	commands := intentCommands(app)
+	commands = append(commands, viewCommands(app)...)
 
-	plan := app.Command("plan", "State an intent and show its plan; nothing happens yet.")
-	kind := plan.Arg("intent", "What is wanted: "+strings.Join(kinds(), ", ")+".").Required().Enum(kinds()...)
-	subject := plan.Arg("subject", "Service, availability zone, client account or path prefix.").Required().String()
-	regions := plan.Flag("region", "Home region of a pin; repeat it for several.").Strings()
-	confirm := app.Command("confirm", "Confirm a plan; the system then acts on it.")
-	id := confirm.Arg("plan", "The plan's id.").Required().String()
-	digest := confirm.Arg("digest", "The plan's digest.").Required().String()
-	status := app.Command("status", "Show the replicas and the version on each host.")
-	configuration := app.Command("configuration", "Show the newest accepted configuration as JSON.")
-
-	command := kingpin.MustParse(app.Parse(os.Args[1:]))
-	c := operator.NewClient(o.server, o.key)
-	switch command {
-	case plan.FullCommand():
-		o.plan(c, state.Intent{Kind: state.Kind(*kind), Subject: *subject, Regions: *regions})
-	case confirm.FullCommand():
-		o.confirm(c, *id, *digest)
-	case status.FullCommand():
-		o.status(c)
-	case configuration.FullCommand():
-		got, err := c.Configuration()
-		exitOn(err)
-		printJSON(got)
-	}
-}
-
-// kinds returns the intents that an operator can state.
-func kinds() []string {
-	return []string{
-		string(state.AdmitService), string(state.RetireService),
-		string(state.TakeZoneOut), string(state.BringZoneBack),
-		string(state.PinAccount), string(state.UnpinAccount),
-		string(state.PinRoute), string(state.UnpinRoute),
-	}
-}
-
-// loginName returns the name of the person at the terminal.
-func loginName() string {
-	u, err := user.Current()
+	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
-		return "unknown"
+		fmt.Fprintf(os.Stderr, "tanagerctl: %v; try tanagerctl --help\n", err)
+		os.Exit(exitUsage)
 	}
-	return u.Username
-}
-
-// plan states an intent and prints its plan.
-func (o *options) plan(c *operator.Client, i state.Intent) {
-	p, err := c.Plan(i)
+	c, err := o.client()
 	exitOn(err)
-	if o.json {
-		printJSON(p)
-	} else {
-		printPlan(p)
-	}
-	if p.Refusal != "" {
-		os.Exit(exitRefused)
+	for _, command := range commands {
+		if command.clause.FullCommand() == chosen {
+			command.run(&o, c)
+		}
 	}
 }
 
-// printPlan prints a plan for a person.
-func printPlan(p state.Plan) {
-	if p.Refusal != "" {
-		fmt.Printf("refused: %s\n", p.Refusal)
-		return
-	}
-	fmt.Printf("plan %s on version %d: %s %s\n", p.ID, p.BaseVersion, p.Intent.Kind, p.Intent.Subject)
-	for _, step := range p.Steps {
-		fmt.Printf("  - %s\n", step)
-	}
-	fmt.Printf("confirm with: tanagerctl confirm %s %s\n", p.ID, p.Digest)
-}
-
-// confirm confirms a plan and prints the answer.
-func (o *options) confirm(c *operator.Client, id, digest string) {
-	answer, err := c.Confirm(id, operator.Confirmation{Operator: o.operator, Digest: digest})
-	exitOn(err)
-	if o.json {
-		printJSON(answer)
-	} else if answer.Accepted {
-		fmt.Printf("accepted: version %d\n", answer.Version)
-	} else {
-		fmt.Printf("refused: %s; version %d is by %s (%s)\n",
-			answer.Reason, answer.Version, answer.WinnerOperator, answer.Winner)
-	}
-	if !answer.Accepted {
-		os.Exit(exitRefused)
-	}
+// command is one command of the program.
+type command struct {
+	clause *kingpin.CmdClause
+	run    func(o *options, c *operator.Client)
 }
 
-// status prints the replicas and the version on each host.
-func (o *options) status(c *operator.Client) {
-	s, err := c.Status()
-	exitOn(err)
-	if o.json {
-		printJSON(s)
-		return
+// client returns a client of all servers.
+func (o *options) client() (*operator.Client, error) {
+	var servers []string
+	for _, s := range o.servers {
+		for _, one := range strings.Split(s, ",") {
+			servers = append(servers, strings.TrimSuffix(strings.TrimSpace(one), "/"))
+		}
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "REPLICA\tLEADER\tTERM\tCOMMIT\tVERSION\n%s\t%s\t%d\t%d\t%d\n\nHOST\tVERSION\n",
-		s.Replica.ID, s.Replica.Leader, s.Replica.Term, s.Replica.CommitIndex, s.Version)
-	var names []string
-	for name := range s.Hosts {
-		names = append(names, name)
+	c := operator.NewClient(servers[0], o.key, servers[1:]...)
+	if o.ca == "" {
+		return c, nil
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		fmt.Fprintf(w, "%s\t%d\n", name, s.Hosts[name])
+	pool, err := access.LoadAuthorities(o.ca)
+	if err != nil {
+		return nil, err
 	}
-	exitOn(w.Flush())
+	c.UseTLS(&tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool})
+	return c, nil
 }
 
-// printJSON prints a value as JSON.
-func printJSON(v any) {
-	out := json.NewEncoder(os.Stdout)
-	out.SetIndent("", "  ")
-	exitOn(out.Encode(v))
+// loginName returns the name of the person at the terminal.
+func loginName() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
 }
 
 // exitOn ends the program if err is not nil.
 func exitOn(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "tanagerctl:", err)
-		os.Exit(exitFailed)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "tanagerctl:", err)
+	if errors.Is(err, operator.ErrUnauthorized) {
+		os.Exit(exitUnauthorized)
 	}
+	os.Exit(exitFailed)
 }
--- /dev/null
+++ b/cmd/tanagerctl/views.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"tanagerbarrow/operator"
+)
+
+// waitPeriod is the time between two looks at the status.
+const waitPeriod = 100 * time.Millisecond
+
+// viewCommands declares the commands that change nothing.
+func viewCommands(app *kingpin.Application) []command {
+	status := app.Command("status", "Show the replicas and the version on each host.")
+	configuration := app.Command("configuration", "Show the newest accepted configuration as JSON.")
+	history := app.Command("history", "Show who did what, the newest last.")
+	limit := history.Flag("limit", "Number of records.").Default("20").Int()
+	wait := app.Command("wait", "Wait until a version is in force on every entry.")
+	version := wait.Arg("version", "The version.").Required().Uint64()
+	timeout := wait.Flag("timeout", "Longest wait.").Default("30s").Duration()
+	return []command{
+		{status, func(o *options, c *operator.Client) { o.status(c) }},
+		{configuration, func(_ *options, c *operator.Client) {
+			got, err := c.Configuration()
+			exitOn(err)
+			printJSON(got)
+		}},
+		{history, func(o *options, c *operator.Client) { o.history(c, *limit) }},
+		{wait, func(_ *options, c *operator.Client) { waitFor(c, *version, *timeout) }},
+	}
+}
+
+// status prints the replicas and the version on each host.
+func (o *options) status(c *operator.Client) {
+	s, err := c.Status()
+	exitOn(err)
+	if o.json {
+		printJSON(s)
+		return
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "REPLICA\tLEADER\tTERM\tCOMMIT\tVERSION\n%s\t%s\t%d\t%d\t%d\n\n",
+		s.Replica.ID, s.Replica.Leader, s.Replica.Term, s.Replica.CommitIndex, s.Version)
+	fmt.Fprintf(w, "ENTRY\tZONE\tVERSION\tLAST HEARD\tBY\n")
+	for _, h := range s.Entries {
+		fmt.Fprintln(w, hostLine(h, s.Version))
+	}
+	exitOn(w.Flush())
+	if len(s.SilentControls) > 0 {
+		fmt.Printf("\nno answer from control hosts: %s\n", strings.Join(s.SilentControls, ", "))
+	}
+}
+
+// hostLine returns the table line of one entry host.
+func hostLine(h operator.HostStatus, newest uint64) string {
+	if !h.Heard {
+		return fmt.Sprintf("%s\t%s\t-\tnever\t-", h.Host, h.AvailabilityZone)
+	}
+	behind := ""
+	if h.Version < newest {
+		behind = " (behind)"
+	}
+	ago := time.Duration(h.HeardMillisecondsAgo) * time.Millisecond
+	return fmt.Sprintf("%s\t%s\t%d%s\t%s ago\t%s", h.Host, h.AvailabilityZone, h.Version, behind, ago, h.HeardBy)
+}
+
+// history prints the newest records of the audit log.
+func (o *options) history(c *operator.Client, limit int) {
+	h, err := c.History(limit)
+	exitOn(err)
+	if o.json {
+		printJSON(h)
+		return
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "WHEN\tWHO\tVERSION\tOUTCOME\tINTENT\tCHANGED")
+	for _, r := range h.Records {
+		outcome, intent := "accepted", "-"
+		if !r.Accepted {
+			outcome = "refused: " + r.Reason
+		}
+		if r.Intent != nil {
+			intent = string(r.Intent.Kind) + " " + r.Intent.Subject
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\n", r.At.Format(time.RFC3339), r.Operator, r.Version,
+			outcome, intent, strings.Join(r.Changes, "; "))
+	}
+	exitOn(w.Flush())
+}
+
+// waitFor waits until a version is in force on every entry and shows progress
+// on the standard error. It ends the program if that takes too long.
+func waitFor(c *operator.Client, version uint64, timeout time.Duration) {
+	shown := ""
+	var missing []string
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(waitPeriod) {
+		s, err := c.Status()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "status:", err)
+			continue
+		}
+		missing = behind(s, version)
+		progress := fmt.Sprintf("version %d is in force on %d of %d entries", version, len(s.Entries)-len(missing), len(s.Entries))
+		if progress != shown {
+			fmt.Fprintln(os.Stderr, progress)
+			shown = progress
+		}
+		if len(missing) == 0 {
+			return
+		}
+	}
+	fmt.Fprintf(os.Stderr, "version %d is not in force after %s on: %s\n", version, timeout, strings.Join(missing, ", "))
+	os.Exit(exitNotInForce)
+}
+
+// behind returns the entries on which the version is not in force, and how
+// long they are silent.
+func behind(s operator.Status, version uint64) []string {
+	var names []string
+	for _, h := range s.Entries {
+		switch {
+		case !h.Heard:
+			names = append(names, h.Host+" (never heard)")
+		case h.Version < version:
+			ago := time.Duration(h.HeardMillisecondsAgo) * time.Millisecond
+			names = append(names, fmt.Sprintf("%s (version %d, heard %s ago)", h.Host, h.Version, ago))
+		}
+	}
+	return names
+}
--- a/control/control.go
+++ b/control/control.go
@@ -4,13 +4,12 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/consensus"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/operator"
@@ -18,11 +17,9 @@
 	"tanagerbarrow/platform"
 	"tanagerbarrow/settings"
 	"tanagerbarrow/state"
+	"tanagerbarrow/telemetry"
 )
 
-// watchHold is how long a watch waits for a newer configuration.
-const watchHold = time.Second
-
 // Control is one control process.
 type Control struct {
 	settings  *settings.Settings
@@ -34,15 +31,18 @@
 	operators *platform.Server
 	peerLinks net.Listener
 
-	mu    sync.Mutex
-	hosts map[string]uint64
+	distribution *distribution
+	metrics      *telemetry.Metrics
 }
 
 // New opens the data folder and the listeners. Run serves on them.
 func New(s *settings.Settings, log zerolog.Logger) (*Control, error) {
 	places := state.Places{Regions: s.Regions}
-	c := &Control{settings: s, log: log, machine: state.NewMachine(places), hosts: map[string]uint64{}}
-	var err error
+	c := &Control{settings: s, log: log, machine: state.NewMachine(), metrics: telemetry.NewMetrics()}
+	secure, err := access.LoadTLS(s.Access.TLS)
+	if err != nil {
+		return nil, err
+	}
 	if c.config, err = consensus.OpenSingle(s.Control.DataFolder, "configuration", s.Host.Name, c.machine); err != nil {
 		return nil, err
 	}
@@ -50,17 +50,22 @@
 		return nil, err
 	}
 	c.peers = peer.NewServer(s.Access.PeerKey, log)
-	c.peers.Handle(peer.MethodWatch, peer.Typed(c.watch))
+	c.peers.UseTLS(secure.PeerServer())
+	c.peers.CountIn(c.metrics.Set)
+	c.distribution = newDistribution(s, c.machine.Feed(), c.config, log)
+	c.distribution.register(c.peers)
 	c.peers.Handle(peer.MethodLedger, peer.Typed(c.apply))
 	api := &operator.API{
 		Key: s.Access.OperatorKey, Places: places, Machine: c.machine,
-		Replicator: c.config, Hosts: c.versions, Log: log,
+		Replicator: c.config, Capacity: c.distribution, Hosts: c.distribution.hosts,
+		Metrics: c.metrics, Log: log,
 	}
 	routes := platform.NewEcho()
 	api.Register(routes)
 	if c.operators, err = platform.Listen(routes, s.Control.OperatorListen, s.Limits); err != nil {
 		return nil, err
 	}
+	c.operators.UseTLS(secure.OperatorServer())
 	c.peerLinks, err = net.Listen("tcp", s.Host.Peer.String())
 	return c, errors.Wrapf(err, "listen for peers on %s", s.Host.Peer)
 }
@@ -72,6 +77,7 @@
 	var g errgroup.Group
 	g.Go(c.operators.Serve)
 	g.Go(func() error { return c.peers.Serve(work, c.peerLinks) })
+	g.Go(func() error { return c.distribution.run(work) })
 	c.log.Info().Stringer("operators", c.settings.Control.OperatorListen).Msg("control started")
 	<-ctx.Done()
 	err := c.operators.Shutdown(c.settings.Limits.DrainTimeout)
@@ -85,48 +91,6 @@
 	return err
 }
 
-// watch answers with a configuration newer than the asker's, or with nothing
-// after a while. The asker's first configuration follows a read barrier.
-func (c *Control) watch(ctx context.Context, w peer.Watch) (peer.Watched, error) {
-	c.note(w)
-	if w.Have == 0 {
-		if err := c.config.ReadBarrier(ctx); err != nil {
-			return peer.Watched{}, err
-		}
-		return peer.Watched{Configuration: c.machine.Configuration()}, nil
-	}
-	changed := c.machine.Changed()
-	if now := c.machine.Configuration(); now.Version > w.Have {
-		return peer.Watched{Configuration: now}, nil
-	}
-	select {
-	case <-changed:
-		return peer.Watched{Configuration: c.machine.Configuration()}, nil
-	case <-time.After(watchHold):
-		return peer.Watched{}, nil
-	case <-ctx.Done():
-		return peer.Watched{}, ctx.Err()
-	}
-}
-
-// note remembers the version in force on a host.
-func (c *Control) note(w peer.Watch) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.hosts[w.Host] = w.Have
-}
-
-// versions returns the version in force on each entry host.
-func (c *Control) versions() map[string]uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	all := make(map[string]uint64, len(c.hosts))
-	for host, version := range c.hosts {
-		all[host] = version
-	}
-	return all
-}
-
 // apply carries out a ledger command.
 func (c *Control) apply(ctx context.Context, p peer.LedgerCommand) (ledger.Result, error) {
 	data, err := json.Marshal(p.Command)
--- /dev/null
+++ b/control/distribution.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"tanagerbarrow/consensus"
+	"tanagerbarrow/operator"
+	"tanagerbarrow/peer"
+	"tanagerbarrow/settings"
+	"tanagerbarrow/state"
+)
+
+// The times of the distribution.
+const (
+	// quorumPeriod is the time between two proofs of touch with the quorum.
+	quorumPeriod = time.Second
+	// quorumLease is how long a proof lets a control host answer watches.
+	quorumLease = 3 * time.Second
+	// reportLease is how long the report of an entry that went silent counts.
+	reportLease = 10 * time.Second
+	// gatherTimeout bounds the question to the other control hosts.
+	gatherTimeout = 500 * time.Millisecond
+)
+
+// errCutOff tells an entry to watch another control host.
+var errCutOff = errors.New("this control host is out of touch with the quorum")
+
+// distribution pushes configurations to the entries that watch, and knows what
+// they run.
+type distribution struct {
+	settings *settings.Settings
+	feed     *state.Feed
+	config   consensus.Replicator
+	log      zerolog.Logger
+	others   []*peer.Client
+
+	mu       sync.Mutex
+	heard    map[string]heard
+	quorumAt time.Time
+}
+
+// heard is what this control host heard of one entry host.
+type heard struct {
+	version uint64
+	at      time.Time
+	rows    []state.CapacityRow
+	// reported says that rows were reported at all.
+	reported bool
+}
+
+// newDistribution returns the distribution of a feed.
+func newDistribution(s *settings.Settings, feed *state.Feed, config consensus.Replicator, log zerolog.Logger) *distribution {
+	d := &distribution{settings: s, feed: feed, config: config, log: log, heard: map[string]heard{}}
+	for _, h := range s.ControlHosts {
+		if h.Name != s.Host.Name {
+			d.others = append(d.others, peer.NewClient(s.Host.Name, s.Access.PeerKey, h).UseTLS(s.Access.TLS))
+		}
+	}
+	return d
+}
+
+// register adds the methods for entries and for other control hosts.
+func (d *distribution) register(s *peer.Server) {
+	s.Handle(peer.MethodWatch, peer.Typed(d.watch))
+	s.Handle(peer.MethodHosts, peer.Typed(d.list))
+}
+
+// run proves touch with the quorum until ctx ends.
+func (d *distribution) run(ctx context.Context) error {
+	tick := time.NewTicker(quorumPeriod)
+	defer tick.Stop()
+	for {
+		if err := d.prove(ctx); err != nil && ctx.Err() == nil {
+			d.log.Warn().Err(err).Msg("out of touch with the quorum")
+		}
+		select {
+		case <-ctx.Done():
+			for _, other := range d.others {
+				other.Close()
+			}
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// prove reads through the quorum once. Everything committed before then is in
+// the feed afterwards.
+func (d *distribution) prove(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, quorumPeriod)
+	defer cancel()
+	begin := time.Now()
+	if err := d.config.ReadBarrier(ctx); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quorumAt = begin
+	return nil
+}
+
+// proofAge returns the time since the last proof of touch with the quorum.
+func (d *distribution) proofAge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.quorumAt)
+}
+
+// watch answers with a configuration newer than the asker's, or with nothing
+// after a while. The asker's first configuration follows a read barrier. A
+// control host that is out of touch with the quorum refuses.
+func (d *distribution) watch(ctx context.Context, w peer.Watch) (peer.Watched, error) {
+	d.note(w)
+	if !w.Known {
+		if err := d.prove(ctx); err != nil {
+			return peer.Watched{}, err
+		}
+	}
+	if d.proofAge() > quorumLease {
+		return peer.Watched{}, errCutOff
+	}
+	if w.Full {
+		return peer.Watched{Update: state.Update{Full: d.feed.Current()}}, nil
+	}
+	u, err := peer.Await(ctx, d.feed, w, true)
+	return peer.Watched{Update: u, FreshMillisecondsAgo: d.proofAge().Milliseconds()}, err
+}
+
+// note remembers what a host told.
+func (d *distribution) note(w peer.Watch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.heard[w.Host]
+	h.version, h.at = w.Have, time.Now()
+	if w.Report != nil {
+		h.rows, h.reported = w.Report.Rows, true
+	}
+	d.heard[w.Host] = h
+}
+
+// list tells another control host what this one heard.
+func (d *distribution) list(context.Context, peer.Empty) (peer.Hosts, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var answer peer.Hosts
+	var reports []state.CapacityReport
+	for name, h := range d.heard {
+		age := now.Sub(h.at)
+		answer.Heard = append(answer.Heard, peer.HostHeard{Host: name, Version: h.version, MillisecondsAgo: age.Milliseconds()})
+		if h.reported && age <= reportLease {
+			reports = append(reports, state.CapacityReport{Reporters: 1, Rows: h.rows})
+		}
+	}
+	answer.Capacity = state.MergeReports(reports)
+	return answer, nil
+}
+
+// told is the answer of one control host.
+type told struct {
+	by     string
+	hosts  peer.Hosts
+	failed bool
+}
+
+// gather asks every control host what it heard, this one included.
+func (d *distribution) gather(ctx context.Context) []told {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	answers := make([]told, len(d.others)+1)
+	own, _ := d.list(ctx, peer.Empty{})
+	answers[len(d.others)] = told{by: d.settings.Host.Name, hosts: own}
+	var g errgroup.Group
+	for i, other := range d.others {
+		g.Go(func() error {
+			answers[i].by = other.Peer().Name
+			if err := other.Call(ctx, peer.MethodHosts, peer.Empty{}, &answers[i].hosts); err != nil {
+				answers[i].failed = true
+				d.log.Debug().Err(err).Msg("control host did not tell what it heard")
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return answers
+}
+
+// Report returns what entries reported lately to any control host.
+func (d *distribution) Report() state.CapacityReport {
+	var reports []state.CapacityReport
+	for _, a := range d.gather(context.Background()) {
+		reports = append(reports, a.hosts.Capacity)
+	}
+	return state.MergeReports(reports)
+}
+
+// hosts returns what all control hosts together know of the entry hosts.
+func (d *distribution) hosts(ctx context.Context) operator.Hosts {
+	byName := map[string]operator.HostStatus{}
+	for _, h := range d.settings.EntryHosts {
+		byName[h.Name] = operator.HostStatus{Host: h.Name, AvailabilityZone: h.AvailabilityZone}
+	}
+	var all operator.Hosts
+	for _, a := range d.gather(ctx) {
+		if a.failed {
+			all.SilentControls = append(all.SilentControls, a.by)
+		}
+		for _, h := range a.hosts.Heard {
+			known := byName[h.Host]
+			if known.Heard && known.HeardMillisecondsAgo <= h.MillisecondsAgo {
+				continue
+			}
+			byName[h.Host] = operator.HostStatus{
+				Host: h.Host, AvailabilityZone: known.AvailabilityZone, Heard: true, Version: h.Version,
+				HeardMillisecondsAgo: h.MillisecondsAgo, HeardBy: a.by,
+			}
+		}
+	}
+	for _, h := range byName {
+		all.Entries = append(all.Entries, h)
+	}
+	slices.SortFunc(all.Entries, func(a, b operator.HostStatus) int { return strings.Compare(a.Host, b.Host) })
+	return all
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/backend"
 	"tanagerbarrow/caller"
 	"tanagerbarrow/dispatch"
@@ -27,6 +28,7 @@
 	reasonNoConfiguration = "no configuration"
 	reasonStopping        = "stopping"
 	reasonZoneOut         = "availability zone out"
+	reasonCutOff          = "cut off"
 )
 
 // expiryPeriod is the time between searches for ended leases.
@@ -49,6 +51,10 @@
 
 // New opens the listeners of an entry. Run serves on them.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
+	secure, err := access.LoadTLS(s.Access.TLS)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		settings: s, log: log,
 		metrics: telemetry.NewMetrics(),
@@ -56,11 +62,18 @@
 		table:   membership.NewTable(s.Limits.LeaseDuration),
 	}
 	controls := clients(s, s.ControlHosts)
-	e.follower = newFollower(s, controls, log)
-	e.follower.applied = e.configurationApplied
+	e.follower = newFollower(s, controls, clients(s, s.EntryHosts), log)
+	e.follower.applied, e.follower.cutOff, e.follower.members = e.configurationApplied, e.cutOff, e.table.View
+	if err := e.follower.openStore(s.Entry.DataFolder); err != nil {
+		return nil, err
+	}
+	e.follower.measure(e.metrics.Set)
 	e.spreader = newSpreader(clients(s, s.EntryHosts), log)
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
+	e.peers.UseTLS(secure.PeerServer())
+	e.peers.CountIn(e.metrics.Set)
 	e.peers.Handle(peer.MethodMembers, peer.Typed(e.members))
+	e.peers.Handle(peer.MethodWatch, peer.Typed(e.follower.relay))
 	return e, e.listen(controls)
 }
 
@@ -80,7 +93,7 @@
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
 	front := &caller.Front{
-		Configuration: e.follower.current,
+		Configuration: e.follower.serving,
 		Dispatcher: &dispatch.Dispatcher{
 			Members:       e.table.View,
 			Configuration: e.follower.current,
@@ -193,7 +206,7 @@
 	var all []*peer.Client
 	for _, h := range hosts {
 		if h.Peer != s.Host.Peer {
-			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h))
+			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h).UseTLS(s.Access.TLS))
 		}
 	}
 	return all
--- a/operator/api.go
+++ b/operator/api.go
@@ -2,26 +2,27 @@
 
 import (
 	"context"
-	"crypto/subtle"
-	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/consensus"
 	"tanagerbarrow/state"
+	"tanagerbarrow/telemetry"
 )
 
 // The limits of the API.
 const (
-	maxOpenPlans   = 256
-	commandTimeout = 5 * time.Second
+	commandTimeout  = 5 * time.Second
+	maxRequestBytes = "64K"
+	defaultHistory  = 50
 )
 
 // API serves operators.
@@ -34,21 +35,23 @@
 	Machine *state.Machine
 	// Replicator commits commands.
 	Replicator consensus.Replicator
-	// Hosts returns the version in force on each entry host.
-	Hosts func() map[string]uint64
+	// Capacity knows the backend servers for the figures of plans.
+	Capacity state.Capacity
+	// Hosts returns what all control hosts know of the entry hosts.
+	Hosts func(ctx context.Context) Hosts
+	// Metrics counts refusals and is served to operators.
+	Metrics *telemetry.Metrics
 	// Log receives the audit lines.
 	Log zerolog.Logger
-
-	mu    sync.Mutex
-	plans map[string]state.Plan
-	order []string
 }
 
 // Register adds the API's routes.
 func (a *API) Register(e *echo.Echo) {
-	g := e.Group("/v1", a.authorize)
+	g := e.Group("/v1", a.authorize, middleware.BodyLimit(maxRequestBytes))
 	g.GET("/status", a.status)
 	g.GET("/configuration", a.configuration)
+	g.GET("/history", a.history)
+	g.GET("/metrics", a.metrics)
 	g.POST("/plans", a.plan)
 	g.POST("/plans/:id/confirm", a.confirm)
 }
@@ -57,107 +60,118 @@
 func (a *API) authorize(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		token := strings.TrimPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(token), []byte(a.Key)) != 1 {
-			a.Log.Warn().Str("remote", c.RealIP()).Msg("operator presented a wrong key")
-			return c.JSON(http.StatusUnauthorized, Failure{Message: "wrong or missing operator key"})
+		if access.SameKey(token, a.Key) {
+			return next(c)
+		}
+		reason := access.WhyRefused(token)
+		if a.Metrics != nil {
+			access.Count(a.Metrics.Set, access.Operator, reason)
 		}
-		return next(c)
+		a.Log.Warn().Str("remote", c.Request().RemoteAddr).Str("reason", string(reason)).Msg("operator refused")
+		return c.JSON(http.StatusUnauthorized, Failure{Message: "wrong or missing operator key"})
+	}
+}
+
+// metrics returns the metrics of the control process.
+func (a *API) metrics(c echo.Context) error {
+	if a.Metrics != nil {
+		a.Metrics.Write(c.Response())
 	}
+	return nil
 }
 
 // status describes the system.
 func (a *API) status(c echo.Context) error {
-	return c.JSON(http.StatusOK, Status{
-		Replica: a.Replicator.Status(), Version: a.Machine.Configuration().Version, Hosts: a.Hosts(),
-	})
+	known := a.Hosts(c.Request().Context())
+	s := Status{
+		Replica: a.Replicator.Status(), Version: a.Machine.Configuration().Version,
+		Hosts: map[string]uint64{}, Entries: known.Entries, SilentControls: known.SilentControls,
+	}
+	for _, h := range known.Entries {
+		if h.Heard {
+			s.Hosts[h.Host] = h.Version
+		}
+	}
+	return c.JSON(http.StatusOK, s)
 }
 
 // configuration returns the newest accepted configuration.
 func (a *API) configuration(c echo.Context) error {
-	if err := a.Replicator.ReadBarrier(c.Request().Context()); err != nil {
+	if err := a.barrier(c); err != nil {
 		return unavailable(c, err)
 	}
 	return c.JSON(http.StatusOK, a.Machine.Configuration())
 }
 
+// history returns the newest records of the audit log.
+func (a *API) history(c echo.Context) error {
+	limit := defaultHistory
+	if text := c.QueryParam("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return c.JSON(http.StatusBadRequest, Failure{Message: "limit " + strconv.Quote(text) + " is not a positive whole number"})
+		}
+		limit = n
+	}
+	if err := a.barrier(c); err != nil {
+		return unavailable(c, err)
+	}
+	return c.JSON(http.StatusOK, History{Records: a.Machine.History(limit)})
+}
+
+// barrier waits until the machine holds everything committed so far.
+func (a *API) barrier(c echo.Context) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), commandTimeout)
+	defer cancel()
+	return a.Replicator.ReadBarrier(ctx)
+}
+
 // plan answers an intent with a plan.
 func (a *API) plan(c echo.Context) error {
-	var intent state.Intent
-	if err := c.Bind(&intent); err != nil {
+	var r PlanRequest
+	if err := c.Bind(&r); err != nil {
 		return c.JSON(http.StatusBadRequest, Failure{Message: "decode intent: " + err.Error()})
 	}
-	if err := a.Replicator.ReadBarrier(c.Request().Context()); err != nil {
+	if r.ID == "" {
+		r.ID = uuid.NewString()
+	}
+	if err := a.barrier(c); err != nil {
 		return unavailable(c, err)
 	}
-	p := state.NewPlan(uuid.NewString(), intent, a.Machine.Configuration(), a.Places)
-	if p.Refusal == "" {
-		a.keep(p)
+	p, err := a.makePlan(c.Request().Context(), r.ID, r.Intent)
+	if err != nil {
+		return unavailable(c, err)
 	}
 	return c.JSON(http.StatusOK, p)
 }
 
-// keep holds a plan for its confirmation; the oldest is forgotten first.
-func (a *API) keep(p state.Plan) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.plans == nil {
-		a.plans = map[string]state.Plan{}
-	}
-	a.plans[p.ID] = p
-	a.order = append(a.order, p.ID)
-	if len(a.order) > maxOpenPlans {
-		delete(a.plans, a.order[0])
-		a.order = a.order[1:]
-	}
-}
-
 // confirm carries out a plan.
 func (a *API) confirm(c echo.Context) error {
 	var confirmation Confirmation
 	if err := c.Bind(&confirmation); err != nil {
 		return c.JSON(http.StatusBadRequest, Failure{Message: "decode confirmation: " + err.Error()})
 	}
-	id := c.Param("id")
-	a.mu.Lock()
-	p, ok := a.plans[id]
-	a.mu.Unlock()
-	if !ok {
-		return c.JSON(http.StatusNotFound, Failure{Message: "plan " + id + " does not exist"})
-	}
-	if confirmation.Digest != p.Digest {
-		return c.JSON(http.StatusConflict, Failure{Message: "plan " + id + " has digest " + p.Digest})
+	plan := c.Param("id")
+	if confirmation.ID == "" {
+		confirmation.ID = plan + "/" + confirmation.Operator
 	}
-	answer, err := a.commit(c.Request().Context(), p, confirmation.Operator)
+	answer, err := a.carryOut(c.Request().Context(), state.Confirm{
+		ID: confirmation.ID, Plan: plan, Digest: confirmation.Digest,
+		Operator: confirmation.Operator, At: time.Now().UTC(),
+	})
 	if err != nil {
 		return unavailable(c, err)
 	}
-	a.Log.Info().Str("operator", confirmation.Operator).Str("plan", id).Str("intent", string(p.Intent.Kind)).
-		Str("subject", p.Intent.Subject).Bool("accepted", answer.Accepted).Uint64("version", answer.Version).Msg("audit")
+	a.Log.Info().Str("operator", confirmation.Operator).Str("plan", plan).Str("command", confirmation.ID).
+		Bool("accepted", answer.Accepted).Uint64("version", answer.Version).Str("reason", answer.Reason).Msg("audit")
 	if !answer.Accepted {
 		return c.JSON(http.StatusConflict, answer)
 	}
 	return c.JSON(http.StatusOK, answer)
 }
 
-// commit proposes the plan's command.
-func (a *API) commit(ctx context.Context, p state.Plan, operator string) (state.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	data, err := json.Marshal(state.Command{ID: p.ID, Operator: operator, BaseVersion: p.BaseVersion, Intent: p.Intent})
-	if err != nil {
-		return state.Answer{}, errors.Wrapf(err, "encode plan %q", p.ID)
-	}
-	result, err := a.Replicator.Propose(ctx, data)
-	if err != nil {
-		return state.Answer{}, errors.Wrapf(err, "commit plan %q", p.ID)
-	}
-	var answer state.Answer
-	err = json.Unmarshal(result, &answer)
-	return answer, errors.Wrapf(err, "decode the answer to plan %q", p.ID)
-}
-
 // unavailable answers that the replicated log did not answer. The operator may
-// send the command again with the same plan.
+// send the command again with the same ID.
 func unavailable(c echo.Context, err error) error {
 	return c.JSON(http.StatusServiceUnavailable, Failure{Message: err.Error()})
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -2,43 +2,67 @@
 
 import (
 	"bytes"
+	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"tanagerbarrow/state"
 )
 
-// clientTimeout bounds one call of the administration API.
+// clientTimeout bounds one call of the administration API on one server.
 const clientTimeout = 10 * time.Second
 
 // maxResponseBytes bounds a response of the administration API, in bytes.
 const maxResponseBytes = 64 << 20
 
-// Client calls the administration API.
+// ErrUnauthorized marks a call that was refused for its key.
+var ErrUnauthorized = errors.New("the server refused the operator key")
+
+// Client calls the administration API. It tries its servers in turn until one
+// answers; that is safe because every command carries an ID.
 type Client struct {
-	server, key string
-	http        http.Client
+	servers []string
+	key     string
+	http    http.Client
+}
+
+// NewClient returns a client of the API at the URLs.
+func NewClient(server, key string, more ...string) *Client {
+	return &Client{
+		servers: append([]string{server}, more...), key: key,
+		http: http.Client{Timeout: clientTimeout},
+	}
 }
 
-// NewClient returns a client of the API at the URL.
-func NewClient(server, key string) *Client {
-	return &Client{server: server, key: key, http: http.Client{Timeout: clientTimeout}}
+// UseTLS sets the certificate authorities that the client trusts.
+func (c *Client) UseTLS(config *tls.Config) {
+	c.http.Transport = &http.Transport{TLSClientConfig: config}
 }
 
 // Plan states an intent.
 func (c *Client) Plan(i state.Intent) (state.Plan, error) {
+	return c.PlanAs(uuid.NewString(), i)
+}
+
+// PlanAs states an intent and chooses the plan's ID; a repeated ID gets the
+// first plan.
+func (c *Client) PlanAs(id string, i state.Intent) (state.Plan, error) {
 	var p state.Plan
-	return p, c.call(http.MethodPost, "/v1/plans", i, &p)
+	return p, c.call(http.MethodPost, "/v1/plans", PlanRequest{ID: id, Intent: i}, &p)
 }
 
 // Confirm confirms a plan. A refusal is an answer, not an error.
 func (c *Client) Confirm(id string, confirmation Confirmation) (state.Answer, error) {
 	var a state.Answer
-	err := c.call(http.MethodPost, "/v1/plans/"+id+"/confirm", confirmation, &a)
+	err := c.call(http.MethodPost, "/v1/plans/"+url.PathEscape(id)+"/confirm", confirmation, &a)
 	return a, err
 }
 
@@ -54,30 +78,59 @@
 	return &config, c.call(http.MethodGet, "/v1/configuration", nil, &config)
 }
 
-// call carries out one call. A 409 with an answer is decoded like a success.
+// History returns the newest records of the audit log.
+func (c *Client) History(limit int) (History, error) {
+	var h History
+	return h, c.call(http.MethodGet, "/v1/history?limit="+strconv.Itoa(limit), nil, &h)
+}
+
+// call carries out one call on the first server that answers it.
 func (c *Client) call(method, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return errors.Wrapf(err, "encode %s", path)
 	}
-	r, err := http.NewRequest(method, c.server+path, bytes.NewReader(body))
+	var failures error
+	for i, server := range c.servers {
+		answered, err := c.try(server, method, path, body, out)
+		if err == nil {
+			c.servers[0], c.servers[i] = c.servers[i], c.servers[0]
+			return nil
+		}
+		failures = errors.Join(failures, err)
+		if answered {
+			break
+		}
+	}
+	return failures
+}
+
+// try calls one server. answered says that another server would answer the
+// same. A 409 with an answer is decoded like a success.
+func (c *Client) try(server, method, path string, body []byte, out any) (answered bool, err error) {
+	r, err := http.NewRequestWithContext(context.Background(), method, server+path, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrapf(err, "build request to %s", path)
+		return true, errors.Wrapf(err, "build request to %s%s", server, path)
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Authorization", "Bearer "+c.key)
 	res, err := c.http.Do(r)
 	if err != nil {
-		return errors.Wrapf(err, "call %s %s", method, path)
+		return false, errors.Wrapf(err, "call %s %s", method, path)
 	}
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
 	if err != nil {
-		return errors.Wrapf(err, "read response of %s %s", method, path)
+		return false, errors.Wrapf(err, "read response of %s %s%s", method, server, path)
+	}
+	if res.StatusCode == http.StatusUnauthorized {
+		return true, errors.Wrapf(ErrUnauthorized, "%s %s%s", method, server, path)
 	}
 	var failure Failure
 	if res.StatusCode >= http.StatusBadRequest && json.Unmarshal(data, &failure) == nil && failure.Message != "" {
-		return errors.Newf("%s %s: status %d: %s", method, path, res.StatusCode, failure.Message)
+		err := errors.Newf("%s %s%s: status %d: %s", method, server, path, res.StatusCode, failure.Message)
+		return res.StatusCode < http.StatusInternalServerError, err
 	}
-	return errors.Wrapf(json.Unmarshal(data, out), "decode response of %s %s with status %d", method, path, res.StatusCode)
+	err = json.Unmarshal(data, out)
+	return err == nil, errors.Wrapf(err, "decode response of %s %s%s with status %d", method, server, path, res.StatusCode)
 }
--- a/operator/message.go
+++ b/operator/message.go
@@ -2,24 +2,72 @@
 
 import (
 	"tanagerbarrow/consensus"
+	"tanagerbarrow/state"
 )
 
+// PlanRequest states an intent.
+type PlanRequest struct {
+	// ID identifies the plan; a repeated ID gets the first plan. Empty lets the
+	// server choose one.
+	ID string `json:"id,omitempty"`
+	// Intent is what is wanted.
+	Intent state.Intent `json:"intent"`
+}
+
 // Confirmation confirms a plan.
 type Confirmation struct {
+	// ID identifies the command; a repeated ID gets the first answer. Empty
+	// stands for the plan's ID together with the operator.
+	ID string `json:"id,omitempty"`
 	// Operator is who confirms.
 	Operator string `json:"operator"`
 	// Digest is the plan's digest as the operator saw it.
 	Digest string `json:"digest"`
 }
 
-// Status describes the system as one control host sees it.
+// Status describes the system.
 type Status struct {
-	// Replica describes the replicated log.
+	// Replica describes the replicated log as one control host sees it.
 	Replica consensus.Status `json:"replica"`
 	// Version is the newest accepted version.
 	Version uint64 `json:"version"`
-	// Hosts gives the version in force on each entry host.
+	// Hosts gives the version in force on each entry host that was heard.
 	Hosts map[string]uint64 `json:"hosts"`
+	// Entries describes each entry host that the settings list.
+	Entries []HostStatus `json:"entries"`
+	// SilentControls are the control hosts that did not tell what they heard.
+	SilentControls []string `json:"silent_controls,omitempty"`
+}
+
+// HostStatus is what all control hosts together know of one entry host.
+type HostStatus struct {
+	// Host is the entry host.
+	Host string `json:"host"`
+	// AvailabilityZone is where it stands.
+	AvailabilityZone string `json:"availability_zone"`
+	// Heard says that a control host heard of it at all.
+	Heard bool `json:"heard"`
+	// Version is the version in force there.
+	Version uint64 `json:"version"`
+	// HeardMillisecondsAgo is the time since a control host last heard of it, in
+	// milliseconds.
+	HeardMillisecondsAgo int64 `json:"heard_milliseconds_ago"`
+	// HeardBy is the control host that heard of it last.
+	HeardBy string `json:"heard_by,omitempty"`
+}
+
+// Hosts is what the control hosts know of the entry hosts.
+type Hosts struct {
+	// Entries describes each entry host that the settings list, by name.
+	Entries []HostStatus
+	// SilentControls are the control hosts that did not answer.
+	SilentControls []string
+}
+
+// History is the newest part of the audit log.
+type History struct {
+	// Records are the confirmations, the oldest first.
+	Records []state.Record `json:"records"`
 }
 
 // Failure is the body of an error response.
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/settings"
 )
 
@@ -22,6 +23,7 @@
 	host string
 	key  string
 	peer settings.Host
+	tls  settings.TLSFiles
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
 }
@@ -31,6 +33,14 @@
 	return &Client{host: host, key: key, peer: peer}
 }
 
+// UseTLS makes the client connect with TLS if files are set. They are read for
+// each new connection, so that a renewed certificate needs no restart. It must
+// be called before the first call.
+func (c *Client) UseTLS(files settings.TLSFiles) *Client {
+	c.tls = files
+	return c
+}
+
 // Peer returns the host that the client calls.
 func (c *Client) Peer() settings.Host { return c.peer }
 
@@ -54,11 +64,11 @@
 	if c.conn != nil {
 		return c.conn, nil
 	}
-	conn, err := dial(ctx, c.peer.Peer)
+	conn, err := c.dial(ctx)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host %q", c.peer.Name)
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, trustedCodec())
 	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler{})
 	if err := rpc.Call(ctx, MethodHello, Hello{Host: c.host, Key: c.key}, &Empty{}); err != nil {
 		_ = rpc.Close()
@@ -68,10 +78,20 @@
 	return rpc, nil
 }
 
-// dial opens a TCP connection with keepalive.
-func dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
-	return d.DialContext(ctx, "tcp", to.String())
+// dial opens a TCP connection with keepalive, and TLS on it if files are set.
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	secure, err := access.LoadTLS(c.tls)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	plain := net.Dialer{KeepAlive: keepAlivePeriod}
+	config := secure.PeerClient()
+	if config == nil {
+		return plain.DialContext(ctx, "tcp", c.peer.Peer.String())
+	}
+	return (&tls.Dialer{NetDialer: &plain, Config: config}).DialContext(ctx, "tcp", c.peer.Peer.String())
 }
 
 // dropBroken forgets a connection unless the error is the peer's own answer.
--- a/peer/message.go
+++ b/peer/message.go
@@ -12,6 +12,8 @@
 	MethodHello = "hello"
 	// MethodWatch waits for a configuration newer than the caller's.
 	MethodWatch = "configuration.watch"
+	// MethodHosts tells what a control host heard of the entry hosts.
+	MethodHosts = "hosts.list"
 	// MethodLedger carries out a ledger command.
 	MethodLedger = "ledger.apply"
 	// MethodMembers tells another entry of backend servers.
@@ -26,18 +28,54 @@
 	Key string `json:"key"`
 }
 
-// Watch asks for a configuration that is newer than Have.
+// Watch asks a control host, or an entry that relays, for a configuration that
+// is newer than Have.
 type Watch struct {
 	// Host is the name of the asking host.
 	Host string `json:"host"`
 	// Have is the version in force on the asking host.
 	Have uint64 `json:"have"`
+	// Known says that the asking host has a configuration at all.
+	Known bool `json:"known,omitempty"`
+	// Full asks for a whole configuration, after a delta did not fit.
+	Full bool `json:"full,omitempty"`
+	// Report tells what the asking host knows of backend servers; nil if that
+	// has not changed since its last report to this peer.
+	Report *Report `json:"report,omitempty"`
 }
 
-// Watched answers [Watch]. Configuration is nil if nothing newer came in time.
+// Report tells what an entry knows of backend servers.
+type Report struct {
+	// Rows count the backend servers.
+	Rows []state.CapacityRow `json:"rows,omitempty"`
+}
+
+// Watched answers [Watch]. Both parts of the update are nil if nothing newer
+// came in time.
 type Watched struct {
-	// Configuration is the newer configuration.
-	Configuration *state.Configuration `json:"configuration,omitempty"`
+	state.Update
+
+	// FreshMillisecondsAgo is the age of the answering host's proof that it knew
+	// the newest accepted version, in milliseconds.
+	FreshMillisecondsAgo int64 `json:"fresh_ago"`
+}
+
+// Hosts is what one control host heard of the entry hosts.
+type Hosts struct {
+	// Heard are the entry hosts.
+	Heard []HostHeard `json:"heard,omitempty"`
+	// Capacity merges what those heard lately reported.
+	Capacity state.CapacityReport `json:"capacity"`
+}
+
+// HostHeard is what one control host heard of one entry host.
+type HostHeard struct {
+	// Host is the entry host.
+	Host string `json:"host"`
+	// Version is the version in force there.
+	Version uint64 `json:"version"`
+	// MillisecondsAgo is the time since it was heard, in milliseconds.
+	MillisecondsAgo int64 `json:"ago"`
 }
 
 // Members tells of backend servers.
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,16 +2,18 @@
 
 import (
 	"context"
-	"crypto/subtle"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"tanagerbarrow/access"
 )
 
 // codeUnauthorized is the jsonrpc2 error code for a wrong or missing key.
@@ -20,6 +22,13 @@
 // keepAlivePeriod is the time between keepalive probes on peer connections.
 const keepAlivePeriod = 5 * time.Second
 
+// The bounds on connections that have not presented the key.
+const (
+	helloTimeout  = 3 * time.Second
+	refusalLinger = 100 * time.Millisecond
+	maxUnknown    = 256
+)
+
 // Handler answers one call. Its result is encoded as JSON.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -28,9 +37,12 @@
 	key      string
 	log      zerolog.Logger
 	handlers map[string]Handler
+	tls      *tls.Config
+	metrics  *metrics.Set
 
-	mu    sync.Mutex
-	conns map[*jsonrpc2.Conn]bool
+	mu      sync.Mutex
+	conns   map[*jsonrpc2.Conn]bool
+	unknown int
 }
 
 // NewServer returns a server that lets in callers with the key.
@@ -38,6 +50,13 @@
 	return &Server{key: key, log: log, handlers: map[string]Handler{}, conns: map[*jsonrpc2.Conn]bool{}}
 }
 
+// UseTLS makes the server speak TLS unless config is nil. It must be called
+// before Serve.
+func (s *Server) UseTLS(config *tls.Config) { s.tls = config }
+
+// CountIn sets where refusals are counted. It must be called before Serve.
+func (s *Server) CountIn(set *metrics.Set) { s.metrics = set }
+
 // Handle registers the handler of a method. It must be called before Serve.
 func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
 
@@ -66,17 +85,33 @@
 	}
 }
 
-// attach serves one connection in the background.
+// attach serves one connection in the background. It is closed if it does not
+// present the key in time, or at once if too many others have not.
 func (s *Server) attach(ctx context.Context, conn net.Conn) {
+	if s.tls != nil {
+		conn = tls.Server(conn, s.tls)
+	}
 	session := &session{server: s, remote: conn.RemoteAddr().String()}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	s.mu.Lock()
+	if s.unknown >= maxUnknown {
+		s.mu.Unlock()
+		_ = conn.Close()
+		session.refused(access.TooManyUnknown, "")
+		return
+	}
+	s.unknown++
+	s.mu.Unlock()
+	stream := jsonrpc2.NewBufferedStream(conn, codec{limit: session.limit})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle).SuppressErrClosed())
-	rpc := jsonrpc2.NewConn(ctx, stream, handler)
+	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(silent{}))
 	s.mu.Lock()
 	s.conns[rpc] = true
 	s.mu.Unlock()
+	timer := time.AfterFunc(helloTimeout, func() { session.expire(conn) })
 	go func() {
 		<-rpc.DisconnectNotify()
+		timer.Stop()
+		session.settle()
 		s.mu.Lock()
 		delete(s.conns, rpc)
 		s.mu.Unlock()
@@ -91,44 +126,3 @@
 		_ = c.Close()
 	}
 }
-
-// session is one accepted connection.
-type session struct {
-	server  *Server
-	remote  string
-	trusted atomic.Bool
-}
-
-// handle answers one call.
-func (c *session) handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	var params json.RawMessage
-	if r.Params != nil {
-		params = *r.Params
-	}
-	if r.Method == MethodHello {
-		return c.hello(params)
-	}
-	if !c.trusted.Load() {
-		_ = conn.Close()
-		return nil, &jsonrpc2.Error{Code: codeUnauthorized, Message: "no hello with the peer key came first"}
-	}
-	h, ok := c.server.handlers[r.Method]
-	if !ok {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "method " + r.Method + " is unknown"}
-	}
-	return h(ctx, params)
-}
-
-// hello checks the peer key.
-func (c *session) hello(params json.RawMessage) (any, error) {
-	var h Hello
-	if err := json.Unmarshal(params, &h); err != nil {
-		return nil, errors.Wrap(err, "decode hello")
-	}
-	if subtle.ConstantTimeCompare([]byte(h.Key), []byte(c.server.key)) != 1 {
-		c.server.log.Warn().Str("peer", h.Host).Str("remote", c.remote).Msg("peer presented a wrong key")
-		return nil, &jsonrpc2.Error{Code: codeUnauthorized, Message: "wrong peer key"}
-	}
-	c.trusted.Store(true)
-	return Empty{}, nil
-}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"tanagerbarrow/access"
+)
+
+// session is one accepted connection.
+type session struct {
+	server  *Server
+	remote  string
+	trusted atomic.Bool
+	closing atomic.Bool
+	settled sync.Once
+}
+
+// limit returns the bound of the next message, in bytes.
+func (c *session) limit() uint64 {
+	if c.trusted.Load() {
+		return maxMessageBytes
+	}
+	return maxHelloBytes
+}
+
+// handle answers one call.
+func (c *session) handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	var params json.RawMessage
+	if r.Params != nil {
+		params = *r.Params
+	}
+	if r.Method == MethodHello {
+		return c.hello(conn, params)
+	}
+	if !c.trusted.Load() {
+		return nil, c.refuse(conn, access.MissingKey, "", "no hello with the peer key came first")
+	}
+	h, ok := c.server.handlers[r.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "method " + r.Method + " is unknown"}
+	}
+	return h(ctx, params)
+}
+
+// hello checks the peer key. A connection with another key is closed.
+func (c *session) hello(conn *jsonrpc2.Conn, params json.RawMessage) (any, error) {
+	var h Hello
+	if err := json.Unmarshal(params, &h); err != nil {
+		return nil, errors.Wrap(err, "decode hello")
+	}
+	if c.closing.Load() || !access.SameKey(h.Key, c.server.key) {
+		return nil, c.refuse(conn, access.WhyRefused(h.Key), h.Host, "wrong or missing peer key")
+	}
+	c.trusted.Store(true)
+	c.settle()
+	return Empty{}, nil
+}
+
+// refuse returns the error of a refusal and closes the connection once the
+// peer had time to read it.
+func (c *session) refuse(conn *jsonrpc2.Conn, why access.Reason, name, message string) error {
+	if !c.closing.Swap(true) {
+		c.refused(why, name)
+		time.AfterFunc(refusalLinger, func() { _ = conn.Close() })
+	}
+	return &jsonrpc2.Error{Code: codeUnauthorized, Message: message}
+}
+
+// settle takes the connection out of the count of unknown ones.
+func (c *session) settle() {
+	c.settled.Do(func() {
+		c.server.mu.Lock()
+		defer c.server.mu.Unlock()
+		c.server.unknown--
+	})
+}
+
+// expire closes the connection if it has not presented the key.
+func (c *session) expire(conn net.Conn) {
+	if c.trusted.Load() || c.closing.Load() {
+		return
+	}
+	c.refused(access.NoHello, "")
+	_ = conn.Close()
+}
+
+// refused logs and counts a refusal. The name is what the peer claims.
+func (c *session) refused(why access.Reason, name string) {
+	access.Count(c.server.metrics, access.Peer, why)
+	c.server.log.Warn().Str("peer", name).Str("remote", c.remote).Str("reason", string(why)).Msg("peer refused")
+}
+
+// silent drops what jsonrpc2 would write to the process's standard log.
+type silent struct{}
+
+// Printf does nothing.
+func (silent) Printf(string, ...interface{}) {}
--- a/settings/load.go
+++ b/settings/load.go
@@ -78,15 +78,18 @@
 	s.Host = r.ownHost(role, s)
 	r.access(&s.Access)
 	r.limits(&s.Limits)
+	r.entryFolder(role, &s.Entry)
 	switch role {
 	case RoleEntry:
 		s.Entry.CallerListen = r.address("entry", "caller-listen")
 		s.Entry.AdminListen = r.address("entry", "admin-listen")
+		r.tlsFiles(s.Entry.DataFolder, &s.Access.TLS)
 		r.clash("entry", s.Entry.CallerListen, s.Entry.AdminListen, s.Host.Peer)
 	case RoleControl:
 		s.Control.OperatorListen = r.address("control", "operator-listen")
 		s.Control.DataFolder = r.text("control", "data-folder", true)
 		r.clash("control", s.Control.OperatorListen, s.Host.Peer)
+		r.tlsFiles(s.Control.DataFolder, &s.Access.TLS)
 	default:
 		r.fault("host", "role", "is %q, want entry or control", string(role))
 	}
@@ -224,14 +227,17 @@
 }
 
 // duration reads a positive duration of section [limits].
-func (r *reader) duration(key string, into *time.Duration) {
-	v := r.text("limits", key, false)
+func (r *reader) duration(key string, into *time.Duration) { r.durationOf("limits", key, into) }
+
+// durationOf reads a positive duration.
+func (r *reader) durationOf(section, key string, into *time.Duration) {
+	v := r.text(section, key, false)
 	if v == "" {
 		return
 	}
 	d, err := time.ParseDuration(v)
 	if err != nil || d <= 0 {
-		r.fault("limits", key, "%q is not a positive duration such as 5s or 200ms", v)
+		r.fault(section, key, "%q is not a positive duration such as 5s or 200ms", v)
 		return
 	}
 	*into = d
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,12 @@
 	CallerListen netip.AddrPort
 	// AdminListen serves announcements, readiness and metrics over HTTP.
 	AdminListen netip.AddrPort
+	// DataFolder holds the TLS files and the last configuration; empty if the
+	// host has no disk.
+	DataFolder string
+	// MaxConfigurationAge is how long an entry that is cut off together with
+	// its region serves on; 0, the default, sets no end.
+	MaxConfigurationAge time.Duration
 }
 
 // Control are the settings of a control process.
@@ -60,8 +66,24 @@
 	OperatorKey string
 	// AnnounceKey is presented by backend servers; empty lets all announce.
 	AnnounceKey string
+	// TLS are the files for TLS between processes and for operators.
+	TLS TLSFiles
+}
+
+// TLSFiles are the paths of the TLS files below the data folder; all three are
+// set or none.
+type TLSFiles struct {
+	// Certificate is the certificate chain of the host in PEM form.
+	Certificate string
+	// Key is the private key in PEM form.
+	Key string
+	// CA are the certificates of the authorities in PEM form.
+	CA string
 }
 
+// Set reports whether TLS is wanted.
+func (f TLSFiles) Set() bool { return f.Certificate != "" }
+
 // Limits bound what one entry process takes in.
 type Limits struct {
 	// MaxHeaderBytes bounds a request's header, in bytes; 16384 by default.
--- a/state/configuration.go
+++ b/state/configuration.go
@@ -1,9 +1,14 @@
 package state
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 // Configuration is one numbered version of what operators have confirmed. A
@@ -23,6 +28,8 @@
 	AccountHomes map[string][]string `json:"account_homes"`
 	// RouteHomes are the home regions of pinned routes, by path prefix.
 	RouteHomes map[string][]string `json:"route_homes"`
+	// AccountLimits bound client accounts; an absent one has the defaults.
+	AccountLimits map[string]AccountLimits `json:"account_limits"`
 }
 
 // Service is an admitted service. Its requests have its name as the first
@@ -30,6 +37,8 @@
 type Service struct {
 	// Name identifies the service.
 	Name string `json:"name"`
+	// Limits bound the service's requests.
+	Limits ServiceLimits `json:"limits"`
 }
 
 // NewConfiguration returns the empty configuration, version 0.
@@ -39,6 +48,8 @@
 		ZonesOut:     map[string]bool{},
 		AccountHomes: map[string][]string{},
 		RouteHomes:   map[string][]string{},
+
+		AccountLimits: map[string]AccountLimits{},
 	}
 }
 
@@ -81,11 +92,19 @@
 	return c.RouteHomes[best]
 }
 
-// winner returns the command that made this version and who confirmed it.
-func (c *Configuration) winner() (command, operator string) {
-	return c.LastCommand, c.LastOperator
+// Sum returns a checksum of the whole configuration in hexadecimal. Two equal
+// configurations have the same sum.
+func (c *Configuration) Sum() string {
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(errors.Wrapf(err, "encode configuration %d", c.Version))
+	}
+	return strconv.FormatUint(xxhash.Sum64(data), hexadecimal)
 }
 
+// hexadecimal is the base of a checksum in text.
+const hexadecimal = 16
+
 // clone returns a copy whose maps can be changed.
 func (c *Configuration) clone() *Configuration {
 	return &Configuration{
@@ -94,5 +113,26 @@
 		ZonesOut:     maps.Clone(c.ZonesOut),
 		AccountHomes: maps.Clone(c.AccountHomes),
 		RouteHomes:   maps.Clone(c.RouteHomes),
+
+		AccountLimits: maps.Clone(c.AccountLimits),
+	}
+}
+
+// check returns an error if a part of a decoded configuration is absent.
+func (c *Configuration) check() error {
+	if c == nil || c.Services == nil || c.ZonesOut == nil || c.AccountHomes == nil ||
+		c.RouteHomes == nil || c.AccountLimits == nil {
+		return errors.New("configuration lacks a part")
+	}
+	return nil
+}
+
+// DecodeConfiguration decodes a configuration from JSON and checks that it is
+// whole.
+func DecodeConfiguration(data []byte) (*Configuration, error) {
+	var c Configuration
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
 	}
+	return &c, c.check()
 }
--- a/state/intent.go
+++ b/state/intent.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +29,33 @@
 	PinRoute Kind = "pin-route"
 	// UnpinRoute frees a path prefix.
 	UnpinRoute Kind = "unpin-route"
+	// SetServiceLimits changes limits and budgets of a service.
+	SetServiceLimits Kind = "set-service-limits"
+	// ClearServiceLimits gives a service the defaults.
+	ClearServiceLimits Kind = "clear-service-limits"
+	// SetAccountLimits changes limits and the share of a client account.
+	SetAccountLimits Kind = "set-account-limits"
+	// ClearAccountLimits gives a client account the defaults.
+	ClearAccountLimits Kind = "clear-account-limits"
+)
+
+// Kinds returns every kind of intent.
+func Kinds() []Kind {
+	return []Kind{
+		AdmitService, RetireService, TakeZoneOut, BringZoneBack, PinAccount, UnpinAccount, PinRoute, UnpinRoute,
+		SetServiceLimits, ClearServiceLimits, SetAccountLimits, ClearAccountLimits,
+	}
+}
+
+// limits reports whether the kind changes limits.
+func (k Kind) limits() bool {
+	return k == SetServiceLimits || k == ClearServiceLimits || k == SetAccountLimits || k == ClearAccountLimits
+}
+
+// The largest sizes within an intent.
+const (
+	maxSubjectBytes = 512
+	maxRegions      = 64
 )
 
 // Intent is one thing that an operator wants done.
@@ -37,6 +66,13 @@
 	Subject string `json:"subject"`
 	// Regions are the home regions of a pin.
 	Regions []string `json:"regions,omitempty"`
+	// ServiceLimits are the limits to change; the others stay.
+	ServiceLimits *ServiceLimits `json:"service_limits,omitempty"`
+	// AccountLimits are the limits to change; the others stay.
+	AccountLimits *AccountLimits `json:"account_limits,omitempty"`
+	// Force carries the intent out although some pinned requests would have no
+	// home.
+	Force bool `json:"force,omitempty"`
 }
 
 // Places knows the availability zones of the system.
@@ -45,6 +81,15 @@
 	Regions map[string]string
 }
 
+// names returns the regions, sorted.
+func (p Places) names() []string {
+	set := map[string]bool{}
+	for _, region := range p.Regions {
+		set[region] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
 // hasRegion reports whether an availability zone lies in the region.
 func (p Places) hasRegion(region string) bool {
 	for _, r := range p.Regions {
@@ -60,6 +105,10 @@
 	if i.Subject == "" {
 		return errors.Newf("intent %q names no subject", i.Kind)
 	}
+	if len(i.Subject) > maxSubjectBytes || len(i.Regions) > maxRegions {
+		return errors.Newf("intent %q has a subject of %d bytes and %d regions, allowed are %d and %d",
+			i.Kind, len(i.Subject), len(i.Regions), maxSubjectBytes, maxRegions)
+	}
 	switch i.Kind {
 	case AdmitService, RetireService:
 		return i.checkService(c)
@@ -71,6 +120,8 @@
 		return i.checkPinned(c.AccountHomes)
 	case UnpinRoute:
 		return i.checkPinned(c.RouteHomes)
+	case SetServiceLimits, ClearServiceLimits, SetAccountLimits, ClearAccountLimits:
+		return i.checkLimits(c)
 	default:
 		return errors.Newf("intent %q is unknown", i.Kind)
 	}
@@ -91,6 +142,25 @@
 	return nil
 }
 
+// checkLimits checks the intents about limits.
+func (i Intent) checkLimits(c *Configuration) error {
+	_, admitted := c.Services[i.Subject]
+	_, limited := c.AccountLimits[i.Subject]
+	switch {
+	case (i.Kind == SetServiceLimits || i.Kind == ClearServiceLimits) && !admitted:
+		return errors.Newf("service %q is not admitted", i.Subject)
+	case i.Kind == ClearAccountLimits && !limited:
+		return errors.Newf("client account %q has no limits of its own", i.Subject)
+	case i.Kind == SetServiceLimits && i.ServiceLimits == nil, i.Kind == SetAccountLimits && i.AccountLimits == nil:
+		return errors.Newf("no limit of %q is given", i.Subject)
+	case i.Kind == SetServiceLimits:
+		return checkBounds(i.Subject, i.ServiceLimits.bounds())
+	case i.Kind == SetAccountLimits:
+		return checkBounds(i.Subject, i.AccountLimits.bounds())
+	}
+	return nil
+}
+
 // checkZone checks the intents about availability zones.
 func (i Intent) checkZone(c *Configuration, p Places) error {
 	if _, ok := p.Regions[i.Subject]; !ok {
@@ -154,6 +224,24 @@
 		next.RouteHomes[i.Subject] = i.Regions
 	case UnpinRoute:
 		delete(next.RouteHomes, i.Subject)
+	case SetServiceLimits, ClearServiceLimits, SetAccountLimits, ClearAccountLimits:
+		i.applyLimits(next)
 	}
 	return next
 }
+
+// applyLimits carries out the intents about limits on a copy.
+func (i Intent) applyLimits(next *Configuration) {
+	switch {
+	case i.Kind == SetServiceLimits && i.ServiceLimits != nil:
+		s := next.Services[i.Subject]
+		s.Limits = s.Limits.overlay(*i.ServiceLimits)
+		next.Services[i.Subject] = s
+	case i.Kind == ClearServiceLimits:
+		next.Services[i.Subject] = Service{Name: i.Subject}
+	case i.Kind == SetAccountLimits && i.AccountLimits != nil:
+		next.AccountLimits[i.Subject] = next.AccountLimits[i.Subject].overlay(*i.AccountLimits)
+	case i.Kind == ClearAccountLimits:
+		delete(next.AccountLimits, i.Subject)
+	}
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -1,92 +1,39 @@
 package state
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 )
 
-// maxAnswers bounds the remembered answers to commands; the oldest is
-// forgotten first.
-const maxAnswers = 4096
-
-// Command is a confirmed plan on its way into the log.
-type Command struct {
-	// ID makes the command idempotent: a repeated ID gets its first answer.
-	ID string `json:"id"`
-	// Operator is who confirmed.
-	Operator string `json:"operator"`
-	// BaseVersion is the version that the plan rests on.
-	BaseVersion uint64 `json:"base_version"`
-	// Intent is what the plan does.
-	Intent Intent `json:"intent"`
-}
-
-// Answer is what became of a command.
-type Answer struct {
-	// CommandID is the command that was answered.
-	CommandID string `json:"command_id"`
-	// Accepted says that the command took effect.
-	Accepted bool `json:"accepted"`
-	// Version is the version that the command made, or the current one if it
-	// was refused.
-	Version uint64 `json:"version"`
-	// Reason says why the command was refused.
-	Reason string `json:"reason,omitempty"`
-	// Winner is the command that made the version this command lost to.
-	Winner string `json:"winner,omitempty"`
-	// WinnerOperator is who confirmed the winner.
-	WinnerOperator string `json:"winner_operator,omitempty"`
-}
-
-// Plan says what an intent will do on a given version.
-type Plan struct {
-	// ID identifies the plan; it is also the ID of the command that confirms it.
-	ID string `json:"id"`
-	// Digest covers the intent and the base version.
-	Digest string `json:"digest"`
-	// BaseVersion is the version that the plan rests on.
-	BaseVersion uint64 `json:"base_version"`
-	// Intent is what the plan does.
-	Intent Intent `json:"intent"`
-	// Steps say what will happen.
-	Steps []string `json:"steps"`
-	// Refusal says why the plan cannot be confirmed; empty if it can.
-	Refusal string `json:"refusal,omitempty"`
-}
-
-// Digest returns a hash over an intent and its base version.
-func Digest(i Intent, base uint64) string {
-	data, err := json.Marshal(Command{BaseVersion: base, Intent: i})
-	if err != nil {
-		panic(errors.Wrap(err, "marshal intent"))
-	}
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:16])
-}
+// The bounds of what the machine remembers; the oldest is forgotten first.
+const (
+	// MaxPlans bounds the plans that wait for a confirmation.
+	MaxPlans = 256
+	// MaxRecords bounds the audit log and the answers to repeated commands.
+	MaxRecords = 8192
+)
 
 // Machine applies commands in log order. It is safe for concurrent reads.
 type Machine struct {
-	places Places
+	feed *Feed
 
 	mu      sync.RWMutex
 	config  *Configuration
-	answers map[string]Answer
-	order   []string
-	changed chan struct{}
+	plans   fifo[Plan]
+	records fifo[Record]
 }
 
 // NewMachine returns a machine with an empty configuration.
-func NewMachine(p Places) *Machine {
-	return &Machine{
-		places:  p,
-		config:  NewConfiguration(),
-		answers: map[string]Answer{},
-		changed: make(chan struct{}),
+func NewMachine() *Machine {
+	m := &Machine{
+		feed: NewFeed(), config: NewConfiguration(),
+		plans: newFIFO[Plan](MaxPlans), records: newFIFO[Record](MaxRecords),
 	}
+	m.feed.Advance(m.config)
+	return m
 }
 
 // Configuration returns the newest configuration.
@@ -96,74 +43,123 @@
 	return m.config
 }
 
-// Changed returns a channel that is closed at the next change.
-func (m *Machine) Changed() <-chan struct{} {
+// Feed returns the feed of accepted configurations.
+func (m *Machine) Feed() *Feed { return m.feed }
+
+// Plan returns a kept plan.
+func (m *Machine) Plan(id string) (Plan, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.changed
+	return m.plans.get(id)
 }
 
-// Apply carries out one logged command and returns its [Answer] as JSON.
+// Record returns the audit record of a command.
+func (m *Machine) Record(command string) (Record, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.records.get(command)
+}
+
+// History returns the newest records of the audit log, the oldest first, at
+// most limit of them.
+func (m *Machine) History(limit int) []Record {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := m.records.list()
+	return all[max(0, len(all)-limit):]
+}
+
+// Apply carries out one logged command and returns its [Result] as JSON.
 func (m *Machine) Apply(data []byte) ([]byte, error) {
 	var c Command
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode command")
 	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if first, ok := m.answers[c.ID]; ok {
-		return json.Marshal(first)
+	if c.Plan != nil {
+		return json.Marshal(Result{Plan: m.keep(*c.Plan)})
+	}
+	a := m.answer(*c.Confirm)
+	return json.Marshal(Result{Answer: &a})
+}
+
+// keep keeps a plan and returns it, or the first plan with its ID.
+func (m *Machine) keep(p Plan) *Plan {
+	if first, ok := m.plans.get(p.ID); ok {
+		return &first
 	}
-	a := m.decide(c)
-	m.remember(c, a)
-	return json.Marshal(a)
+	if p.Refusal == "" {
+		m.plans.put(p.ID, p)
+	}
+	return &p
 }
 
-// decide carries out a command that is seen for the first time.
-func (m *Machine) decide(c Command) Answer {
-	a := Answer{CommandID: c.ID, Version: m.config.Version}
-	if c.BaseVersion != m.config.Version {
-		a.Reason = "the configuration changed since the plan was made"
-		a.Winner, a.WinnerOperator = m.config.winner()
-		return a
+// answer carries out a confirmation, or returns its first answer.
+func (m *Machine) answer(c Confirm) Answer {
+	first, ok := m.records.get(c.ID)
+	if ok && first.PlanID == c.Plan {
+		return first.Answer
 	}
-	if err := c.Intent.Check(m.config, m.places); err != nil {
-		a.Reason = err.Error()
-		return a
+	if ok {
+		return Answer{
+			CommandID: c.ID, PlanID: c.Plan, Version: m.config.Version,
+			Reason: fmt.Sprintf("command %q confirmed plan %q before", c.ID, first.PlanID),
+		}
 	}
-	m.config = c.Intent.apply(m.config)
-	m.config.LastCommand, m.config.LastOperator = c.ID, c.Operator
-	close(m.changed)
-	m.changed = make(chan struct{})
-	a.Accepted, a.Version = true, m.config.Version
-	return a
+	r := m.decide(c)
+	m.records.put(c.ID, r)
+	return r.Answer
 }
 
-// remember keeps the answer for a repeated command.
-func (m *Machine) remember(c Command, a Answer) {
-	m.answers[c.ID] = a
-	m.order = append(m.order, c.ID)
-	if len(m.order) > maxAnswers {
-		delete(m.answers, m.order[0])
-		m.order = m.order[1:]
+// decide carries out a confirmation that is seen for the first time.
+func (m *Machine) decide(c Confirm) Record {
+	r := Record{Operator: c.Operator, At: c.At}
+	r.CommandID, r.PlanID, r.Version = c.ID, c.Plan, m.config.Version
+	p, ok := m.plans.get(c.Plan)
+	if !ok {
+		r.Reason = fmt.Sprintf("plan %q does not exist, or newer plans took its place", c.Plan)
+		return r
+	}
+	r.Intent = &p.Intent
+	switch {
+	case c.Digest != p.Digest:
+		r.Reason = fmt.Sprintf("plan %q has digest %s, the confirmation names %s", p.ID, p.Digest, c.Digest)
+	case p.BaseVersion != m.config.Version:
+		r.Stale = true
+		r.Reason = fmt.Sprintf("the plan rests on version %d, which %s has changed since", p.BaseVersion, m.config.LastOperator)
+		r.Winner, r.WinnerOperator = m.config.LastCommand, m.config.LastOperator
+	default:
+		m.carryOut(p, c, &r)
 	}
+	return r
+}
+
+// carryOut makes the next version.
+func (m *Machine) carryOut(p Plan, c Confirm, r *Record) {
+	next := p.Intent.apply(m.config)
+	next.LastCommand, next.LastOperator = c.ID, c.Operator
+	r.Changes = describe(m.config, next)
+	r.Accepted, r.Version = true, next.Version
+	m.config = next
+	m.feed.Advance(next)
 }
 
 // snapshot is the machine's whole state.
 type snapshot struct {
 	Config  *Configuration `json:"config"`
-	Answers []Answer       `json:"answers"`
+	Plans   []Plan         `json:"plans"`
+	Records []Record       `json:"records"`
 }
 
 // Snapshot returns the machine's state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := snapshot{Config: m.config}
-	for _, id := range m.order {
-		s.Answers = append(s.Answers, m.answers[id])
-	}
-	return json.Marshal(s)
+	return json.Marshal(snapshot{Config: m.config, Plans: m.plans.list(), Records: m.records.list()})
 }
 
 // Restore replaces the machine's state by a snapshot.
@@ -172,16 +168,20 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
+	if err := s.Config.check(); err != nil {
+		return errors.Wrap(err, "snapshot")
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.config = s.Config
-	m.answers = map[string]Answer{}
-	m.order = nil
-	for _, a := range s.Answers {
-		m.answers[a.CommandID] = a
-		m.order = append(m.order, a.CommandID)
+	m.plans = newFIFO[Plan](MaxPlans)
+	for _, p := range s.Plans {
+		m.plans.put(p.ID, p)
+	}
+	m.records = newFIFO[Record](MaxRecords)
+	for _, r := range s.Records {
+		m.records.put(r.CommandID, r)
 	}
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.feed.Advance(m.config)
 	return nil
 }
