--- /dev/null
+++ b/access/accesstest/doc.go
@@ -0,0 +1,2 @@
+// Package accesstest makes certificates for tests.
+package accesstest
