--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -111,6 +111,9 @@
 	}
 	m.keep(p)
 	m.keep(other)
+	if again := m.keep(Plan{ID: "other"}); again.Digest != other.Digest {
+		t.Errorf("a plan ID that was kept before got %+v", again)
+	}
 	if a := confirm("2", "plan", "wrong"); a.Accepted || a.Reason == "" {
 		t.Errorf("a wrong digest: %+v", a)
 	}
