--- a/bench/capacity/parts.go
+++ b/bench/capacity/parts.go
@@ -40,7 +40,7 @@
 			Sizes: []int{10, 100, targetServices}, Target: targetServices, Measure: measureConfiguration,
 		},
 		{
-			Name: "configuration state machine of a control host", Unit: "changes", Operation: "apply one change",
+			Name: "configuration state machine of a control host", Unit: "changes", Operation: "plan and apply one change",
 			Sizes: []int{100, 1000, targetChanges}, Target: targetChanges, Measure: measureMachine,
 		},
 		{
@@ -79,24 +79,40 @@
 	return Cost{Size: size, Heap: heap, Wire: float64(len(one)), Work: work}
 }
 
-// command returns the encoded command that admits a service.
-func command(i int, kind state.Kind, subject string) []byte {
-	data, _ := json.Marshal(state.Command{
-		ID: fmt.Sprintf("command-%08d", i), Operator: "operator", BaseVersion: uint64(i),
-		Intent: state.Intent{Kind: kind, Subject: subject, Regions: []string{"region"}},
-	})
-	return data
+// places are the availability zones of the measured state machine.
+var places = state.Places{Regions: map[string]string{"zone": "region", "other": "region"}}
+
+// change plans and confirms one intent.
+func change(m *state.Machine, kind state.Kind, subject string) {
+	intent := state.Intent{Kind: kind, Subject: subject, Regions: []string{"region"}}
+	c := m.Configuration()
+	p := state.NewPlan(fmt.Sprintf("plan-%08d", c.Version), intent, c, places, state.CapacityReport{})
+	keep, _ := json.Marshal(state.Command{Plan: &p})
+	_, _ = m.Apply(keep)
+	confirm, _ := json.Marshal(state.Command{Confirm: &state.Confirm{
+		ID: fmt.Sprintf("command-%08d", c.Version), Plan: p.ID, Digest: p.Digest, Operator: "operator", At: time.Now(),
+	}})
+	_, _ = m.Apply(confirm)
 }
 
 // newMachine returns a state machine with a number of admitted services.
 func newMachine(services int) *state.Machine {
-	m := state.NewMachine(state.Places{Regions: map[string]string{"zone": "region", "other": "region"}})
+	m := state.NewMachine()
 	for i := range services {
-		_, _ = m.Apply(command(i, state.AdmitService, fmt.Sprintf("service-%d", i)))
+		change(m, state.AdmitService, fmt.Sprintf("service-%d", i))
 	}
 	return m
 }
 
+// move takes an availability zone out or brings it back.
+func move(m *state.Machine, i int) {
+	kind := state.TakeZoneOut
+	if i%2 == 1 {
+		kind = state.BringZoneBack
+	}
+	change(m, kind, "zone")
+}
+
 // measureConfiguration measures one copy of the configuration.
 func measureConfiguration(size int) Cost {
 	data, _ := json.Marshal(newMachine(size).Configuration())
@@ -112,18 +128,15 @@
 // measureMachine measures the configuration's state machine at the letter's
 // number of services, as changes pile up.
 func measureMachine(size int) Cost {
-	pin := func(i int) []byte {
-		return command(targetServices+i, state.PinAccount, fmt.Sprintf("account-%d", i%targetServices))
-	}
 	m, heap := heapOf(func() *state.Machine {
 		m := newMachine(targetServices)
 		for i := range size {
-			_, _ = m.Apply(pin(i))
+			move(m, i)
 		}
 		return m
 	})
 	snapshot, _ := m.Snapshot()
-	work := timeOf(func(i int) { _, _ = m.Apply(pin(size + i)) })
+	work := timeOf(func(i int) { move(m, i) })
 	return Cost{Size: size, Heap: heap, Wire: float64(len(snapshot)), Work: work}
 }
 
