--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
 	"tanagerbarrow/caller"
@@ -29,6 +30,7 @@
 	reasonNoConfiguration = "no configuration"
 	reasonStopping        = "stopping"
 	reasonZoneOut         = "availability zone out"
+	reasonCutOff          = "cut off"
 )
 
 // handOverTimeout bounds the handing over of leases when the entry stops.
@@ -54,6 +56,10 @@
 
 // New opens the listeners of an entry. Run serves on them.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
+	secure, err := access.LoadTLS(s.Access.TLS)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		settings: s, log: log,
 		metrics: telemetry.NewMetrics(),
@@ -62,14 +68,22 @@
 	}
 	e.members = newNode(s, e.links)
 	controls := clients(s, s.ControlHosts)
-	e.follower = newFollower(s, controls, log)
+	e.follower = newFollower(s, controls, clients(s, s.EntryHosts), log)
 	e.follower.prepare = func(c *state.Configuration) { e.returns.Apply(c.ZonesOut, time.Now()) }
-	e.follower.applied = e.configurationApplied
+	e.follower.applied, e.follower.cutOff = e.configurationApplied, e.cutOff
+	e.follower.members = e.members.Table().View
+	if err := e.follower.openStore(s.Entry.DataFolder); err != nil {
+		return nil, err
+	}
+	e.follower.measure(e.metrics.Set)
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
+	e.peers.UseTLS(secure.PeerServer())
+	e.peers.CountIn(e.metrics.Set)
 	handleMembership(e.peers, e.members)
 	e.balancer = e.newBalancer()
 	e.sharer = newLoadSharer(s, e.balancer, e.metrics)
 	e.peers.Handle(peer.MethodLoad, peer.Typed(e.sharer.accept))
+	e.peers.Handle(peer.MethodWatch, peer.Typed(e.follower.relay))
 	return e, e.listen(controls)
 }
 
@@ -89,7 +103,7 @@
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
 	front := &caller.Front{
-		Configuration: e.follower.current,
+		Configuration: e.follower.serving,
 		Dispatcher: &dispatch.Dispatcher{
 			Exchanger: e.newExchanger(),
 			Claims:    &claims{controls: controls},
@@ -124,6 +138,7 @@
 	}
 	intake.Register(routes)
 	e.ready.Register(routes)
+	routes.GET(MembersPath, e.listMembers)
 	routes.GET("/metrics", func(c echo.Context) error {
 		e.metrics.Write(c.Response())
 		return nil
@@ -188,7 +203,7 @@
 	var all []*peer.Client
 	for _, h := range hosts {
 		if h.Peer != s.Host.Peer {
-			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h))
+			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h).UseTLS(s.Access.TLS))
 		}
 	}
 	return all
