--- a/bench/capacity/parts.go
+++ b/bench/capacity/parts.go
@@ -64,9 +64,9 @@
 func measureTable(size int) Cost {
 	now := time.Now()
 	table, heap := heapOf(func() *membership.Table {
-		t := membership.NewTable(time.Hour)
+		t := membership.NewTable(membership.Origin{Host: "entry", Epoch: 1}, time.Hour)
 		for i := range size {
-			_ = t.Put(server(i), now)
+			_, _ = t.Put(server(i), now)
 		}
 		return t
 	})
@@ -74,7 +74,7 @@
 	work := timeOf(func(i int) {
 		b := server(i % size)
 		b.Generation, b.Sequence = uint64(2+i/size), uint64(2+i)
-		_ = table.Put(b, now)
+		_, _ = table.Put(b, now)
 	})
 	return Cost{Size: size, Heap: heap, Wire: float64(len(one)), Work: work}
 }
--- a/entry/loadshare.go
+++ b/entry/loadshare.go
@@ -57,13 +57,13 @@
 	s := e.settings
 	live := func() []string {
 		var names []string
-		for _, h := range regionEntries(s) {
+		for _, h := range e.members.Hosts().LiveInRegion(s.Region()) {
 			names = append(names, h.Name)
 		}
 		return names
 	}
 	return &dispatch.Balancer{
-		Members:       e.table.View,
+		Members:       e.members.Table().View,
 		Configuration: e.follower.current,
 		Place: balance.Place{
 			AvailabilityZone: s.Host.AvailabilityZone, Regions: s.Regions, Hops: balance.DefaultHops(),
