Run whole deployments under load and faults

make bench starts 18 entries, the control hosts and the profile's backend servers, offers an open-loop mix of reads, orders and uploads, and goes through calm, burst, zone out, zone back, straggler, killed entry and frozen control leader. It reports latencies, failures by verdict, orders run twice, wrong answers, untrue NotRun and late work in the zone that is out, as JSON and as a page with plots. The baseline is the same path with round robin and no limits, which the new setting balance.policy selects.

--- /dev/null
+++ b/bench/experiment/run.go
@@ -0,0 +1,147 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tanagerbarrow/bench/load"
+)
+
+// The bounds of a phase.
+const (
+	requestTimeout = 5 * time.Second
+	zoneOutBound   = 3 * time.Second
+)
+
+// Experiment is what to run.
+type Experiment struct {
+	// Binary is the path of the daemon.
+	Binary string
+	// Folder receives the files of the runs.
+	Folder string
+	// Length is the length of each phase.
+	Length time.Duration
+	// Progress receives a line for each phase.
+	Progress io.Writer
+	// Seed makes arrivals repeatable.
+	Seed uint64
+	// Scale multiplies every rate, for machines smaller than the deployment.
+	Scale float64
+}
+
+// Run runs a profile under a policy. settings is appended to every settings
+// file.
+func (e *Experiment) Run(ctx context.Context, p Profile, policy, settings string) (Run, error) {
+	result := Run{Profile: p.Name, Policy: policy}
+	folder := filepath.Join(e.Folder, p.Name+"-"+policy)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return result, errors.Wrapf(err, "create folder %q", folder)
+	}
+	w, err := StartWorld(e.Binary, folder, settings, p)
+	if err != nil {
+		return result, err
+	}
+	defer w.Stop()
+	frontend := w.frontend()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go frontend.Run(ctx)
+	for i, phase := range Phases(&p) {
+		if ctx.Err() != nil {
+			break
+		}
+		r, err := e.phase(ctx, w, frontend, fmt.Sprintf("%s%d", policy, i), phase)
+		if err != nil {
+			return result, errors.Wrapf(err, "phase %q of %s", phase.Name, p.Name)
+		}
+		result.Phases = append(result.Phases, r)
+		e.progress(p.Name, policy, &r)
+	}
+	return result, nil
+}
+
+// phase runs one phase under load.
+func (e *Experiment) phase(ctx context.Context, w *World, f *load.Frontend, name string, phase Phase) (PhaseResult, error) {
+	rate := phase.Load * w.profile.Capacity() * e.Scale
+	r := PhaseResult{Phase: phase.Name, Rate: rate, Kinds: map[string]*KindResult{}}
+	g := &load.Generator{Frontend: f, Mix: w.profile.Mix, Rate: rate, Seed: e.Seed, Timeout: requestTimeout}
+	before, start := w.usage(), time.Now()
+	begun := make(chan error, 1)
+	confirmed := time.Now()
+	go func() {
+		var err error
+		if phase.Begin != nil {
+			err = phase.Begin(w)
+			confirmed = time.Now()
+		}
+		begun <- err
+	}()
+	var outcomes []load.Outcome
+	g.Run(ctx, name, e.Length, func(o load.Outcome) { outcomes = append(outcomes, o) })
+	if err := <-begun; err != nil {
+		return r, err
+	}
+	r.EntryCores, r.ControlCores = w.usage().since(before, time.Since(start))
+	for i := range outcomes {
+		r.add(w, &outcomes[i])
+	}
+	for _, k := range r.Kinds {
+		k.finish()
+	}
+	w.lateWork(phase.ZoneOut, confirmed, &r)
+	if phase.End == nil {
+		return r, nil
+	}
+	return r, phase.End(w)
+}
+
+// add counts one outcome.
+func (r *PhaseResult) add(w *World, o *load.Outcome) {
+	k, ok := r.Kinds[o.Kind]
+	if !ok {
+		k = newKindResult()
+		r.Kinds[o.Kind] = k
+	}
+	k.add(o)
+	r.audit(w, o)
+}
+
+// lateWork looks for work that began in the availability zone taken out.
+func (w *World) lateWork(zone string, confirmed time.Time, r *PhaseResult) {
+	if zone == "" {
+		return
+	}
+	for i, b := range w.backends {
+		if w.zones[i] != zone {
+			continue
+		}
+		for _, run := range b.Log() {
+			after := run.Arrived.Sub(confirmed)
+			r.LastWorkInZoneMillis = max(r.LastWorkInZoneMillis, float64(after.Microseconds())/1000)
+			if after > zoneOutBound {
+				r.LateWorkInZone++
+			}
+		}
+	}
+}
+
+// progress prints one phase.
+func (e *Experiment) progress(profile, policy string, r *PhaseResult) {
+	for _, name := range []string{"read", "order", "upload"} {
+		k, ok := r.Kinds[name]
+		if !ok {
+			continue
+		}
+		fmt.Fprintf(e.Progress, "%-12s %-12s %-22s %-7s sent %6d ok %6d p50 %7.1f p99 %8.1f p99.9 %8.1f ms %v\n",
+			profile, policy, r.Phase, name, k.Sent, k.OK, k.P50, k.P99, k.P999, k.Failures)
+	}
+	fmt.Fprintf(e.Progress, "%-12s %-12s %-22s orders twice %d, wrong %d, untrue NotRun %d, late work in zone %d"+
+		" (last after %.0f ms), entries %.2f cores, control %.2f cores\n", profile, policy, r.Phase,
+		r.OrdersTwice, r.WrongAnswers, r.UntrueNotRun, r.LateWorkInZone, r.LastWorkInZoneMillis, r.EntryCores, r.ControlCores)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -36,6 +36,15 @@
 	Apply(ctx context.Context, c ledger.Command) (ledger.Result, error)
 }
 
+// Picker chooses the backend server of each attempt.
+type Picker interface {
+	// Reserve chooses a backend server and counts the attempt there. It may wait
+	// until ctx ends.
+	Reserve(ctx context.Context, r *request.Request, tried []netip.AddrPort) (balance.Started, error)
+	// Release ends the count of an attempt and learns from its answer.
+	Release(started balance.Started, a balance.Answer)
+}
+
 // Dispatcher carries requests to backend servers.
 type Dispatcher struct {
 	// Exchanger sends attempts.
@@ -45,7 +54,7 @@
 	// Retries bounds retries.
 	Retries *limit.RetryBudget
 	// Balancer chooses backend servers.
-	Balancer *Balancer
+	Balancer Picker
 }
 
 // Dispatch carries the request to a backend server and returns its answer. Its
--- /dev/null
+++ b/dispatch/roundrobin.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+
+	"tanagerbarrow/balance"
+	"tanagerbarrow/membership"
+	"tanagerbarrow/request"
+	"tanagerbarrow/state"
+)
+
+// RoundRobin chooses backend servers in turn and sets no limit. It is the
+// baseline that the adaptive choice is measured against.
+type RoundRobin struct {
+	// Members returns the known backend servers.
+	Members func() *membership.View
+	// Configuration returns the configuration in force.
+	Configuration func() *state.Configuration
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
+
+	next atomic.Uint64
+}
+
+// Reserve returns the next allowed backend server of the service.
+func (b *RoundRobin) Reserve(_ context.Context, r *request.Request, tried []netip.AddrPort) (balance.Started, error) {
+	servers := b.Members().Services[r.Service.Name]
+	out := b.Configuration().ZonesOut
+	start := b.next.Add(1)
+	for i := range servers {
+		s := servers[(start+uint64(i))%uint64(len(servers))]
+		zone := s.AvailabilityZone
+		if !out[zone] && r.AllowedIn(b.Regions[zone]) && !slices.Contains(tried, s.Address) {
+			return balance.Started{Server: &balance.Server{Record: s}}, nil
+		}
+	}
+	return balance.Started{}, errNoServer
+}
+
+// Release does nothing: no count is kept.
+func (b *RoundRobin) Release(balance.Started, balance.Answer) {}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,7 +99,7 @@
 			Exchanger: backend.NewExchanger(),
 			Claims:    &claims{controls: controls},
 			Retries:   limit.NewRetryBudget(),
-			Balancer:  e.balancer,
+			Balancer:  e.picker(),
 		},
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
--- a/entry/loadshare.go
+++ b/entry/loadshare.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// picker returns the choice of backend servers that the settings name.
+func (e *Entry) picker() dispatch.Picker {
+	if e.settings.Balance.Policy == settings.PolicyRoundRobin {
+		return &dispatch.RoundRobin{
+			Members: e.members.Table().View, Configuration: e.follower.current, Regions: e.settings.Regions,
+		}
+	}
+	return e.balancer
+}
+
 // regionEntries returns the entry hosts of the host's region, with itself.
 func regionEntries(s *settings.Settings) []settings.Host {
 	var found []settings.Host
--- a/settings/load.go
+++ b/settings/load.go
@@ -78,6 +78,7 @@
 	s.Host = r.ownHost(role, s)
 	r.access(&s.Access)
 	r.limits(&s.Limits)
+	s.Balance.Policy = r.policy()
 	r.entryFolder(role, &s.Entry)
 	switch role {
 	case RoleEntry:
@@ -169,6 +170,19 @@
 	a.AnnounceKey = r.text("access", "announce-key", false)
 }
 
+// policy reads the policy of section [balance].
+func (r *reader) policy() Policy {
+	switch p := Policy(r.text("balance", "policy", false)); p {
+	case "":
+		return PolicyAdaptive
+	case PolicyAdaptive, PolicyRoundRobin:
+		return p
+	default:
+		r.fault("balance", "policy", "is %q, want adaptive or round-robin", string(p))
+		return PolicyAdaptive
+	}
+}
+
 // limits reads section [limits].
 func (r *reader) limits(l *Limits) {
 	r.bytes("max-header-bytes", &l.MaxHeaderBytes)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,8 @@
 	Control Control
 	// Access holds section [access].
 	Access Access
+	// Balance holds section [balance].
+	Balance Balance
 	// Limits holds section [limits].
 	Limits Limits
 }
@@ -84,6 +86,24 @@
 // Set reports whether TLS is wanted.
 func (f TLSFiles) Set() bool { return f.Certificate != "" }
 
+// Policy names how an entry chooses backend servers.
+type Policy string
+
+// The policies.
+const (
+	// PolicyAdaptive chooses by the load that the entries of a region share. It
+	// is the default.
+	PolicyAdaptive Policy = "adaptive"
+	// PolicyRoundRobin chooses in turn and without limits, as a baseline.
+	PolicyRoundRobin Policy = "round-robin"
+)
+
+// Balance says how an entry chooses backend servers.
+type Balance struct {
+	// Policy is the way to choose; adaptive by default.
+	Policy Policy
+}
+
 // Limits bound what one entry process takes in.
 type Limits struct {
 	// MaxHeaderBytes bounds a request's header, in bytes; 16384 by default.
