--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,7 +108,7 @@
 			Exchanger: e.newExchanger(),
 			Claims:    &claims{controls: controls},
 			Retries:   limit.NewRetryBudget(),
-			Balancer:  e.balancer,
+			Balancer:  e.picker(),
 		},
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
