Do not count refused connections as attempts of a request

Cause: a request may be sent three times, and connections that backend servers refused counted.

Now only attempts that may have run count against three; all tries are bounded by ten.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,8 +17,14 @@
 	"tanagerbarrow/verdict"
 )
 
-// maxAttempts bounds the backend servers that one request is sent to.
-const maxAttempts = 3
+// The bounds of the attempts of one request.
+const (
+	// maxAttempts bounds the attempts that may have run.
+	maxAttempts = 3
+	// maxTries bounds all attempts, with those that provably did not run: where
+	// an availability zone is lost, several connections in a row are refused.
+	maxTries = 10
+)
 
 // silenceLimit bounds the wait of an idempotent request for the first byte of
 // its answer on a reused connection, which may have gone silent.
@@ -73,7 +79,8 @@
 	d.Retries.Request()
 	var tried []netip.AddrPort
 	var last error
-	for range maxAttempts {
+	attempts := 0
+	for range maxTries {
 		started, err := d.Balancer.Reserve(ctx, r, tried)
 		if err != nil {
 			last = d.reserveError(r, err, last)
@@ -88,7 +95,10 @@
 		if !backend.ConnectionAtFault(err) {
 			tried = append(tried, to)
 		}
-		if ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
+		if verdict.Of(err) != verdict.NotRun {
+			attempts++
+		}
+		if attempts == maxAttempts || ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
 			break
 		}
 	}
