Search only the own leases on each tick

Now a tick looks at the own leases, and all registers are searched every 10 s or when the copies of a lost entry end.

--- a/membership/expire.go
+++ b/membership/expire.go
@@ -18,12 +18,24 @@
 		anew = t.resume(gap)
 	}
 	t.lastTick = now
-	t.noteLost(now, alive)
+	if t.noteLost(now, alive) || now.Sub(t.lastSweep) >= sweepPeriod {
+		t.sweep(now)
+	}
+	for at := range t.owned {
+		if r := t.held(at, t.self); now.After(r.expires) {
+			t.end(r, now)
+		}
+	}
+	return anew
+}
+
+// sweep drops what has ended of all addresses.
+func (t *Table) sweep(now time.Time) {
+	t.lastSweep = now
 	for at, a := range t.servers {
 		t.expire(at, a, now)
 	}
 	t.forgetOrigins(now)
-	return anew
 }
 
 // resume makes up for a pause of the process. After a pause in which others
@@ -54,16 +66,17 @@
 	for _, a := range t.servers {
 		if r := a.registers[old]; r != nil {
 			delete(a.registers, old)
-			t.owned -= r.live()
 			t.write(r.Register, now).expires = r.expires
 		}
 	}
 }
 
-// noteLost notes which origins died and which returned. One that returns after
-// copies were given up must send everything again.
-func (t *Table) noteLost(now time.Time, alive func(Origin) bool) {
+// noteLost notes which origins died and which returned, and reports whether
+// copies of one are to be given up. One that returns after that must send
+// everything again.
+func (t *Table) noteLost(now time.Time, alive func(Origin) bool) (ended bool) {
 	for o, s := range t.origins {
+		ended = ended || (!s.dropped && t.givenUp(o, now))
 		switch lives := alive(o); {
 		case lives && s.dropped:
 			*s = originState{}
@@ -73,6 +86,7 @@
 			s.lost = now
 		}
 	}
+	return ended
 }
 
 // expire drops what has ended of one address.
@@ -85,13 +99,8 @@
 				delete(a.registers, o)
 				changed = true
 			}
-		case o == t.self:
-			if now.After(r.expires) {
-				t.end(r, now)
-			}
-		case t.givenUp(o, now):
+		case o != t.self && t.givenUp(o, now):
 			delete(a.registers, o)
-			t.origins[o].dropped = true
 			changed = true
 		}
 	}
@@ -117,9 +126,11 @@
 	t.write(ended, now)
 }
 
-// forgetOrigins drops origins that are long dead.
+// forgetOrigins notes which origins' copies were given up and drops origins that
+// are long dead.
 func (t *Table) forgetOrigins(now time.Time) {
 	for o, s := range t.origins {
+		s.dropped = s.dropped || t.givenUp(o, now)
 		if !s.lost.IsZero() && now.Sub(s.lost) > 2*tombstoneLife {
 			delete(t.origins, o)
 		}
@@ -151,7 +162,7 @@
 	defer t.mu.Unlock()
 	var all []BackendServer
 	for _, a := range t.servers {
-		if r := a.registers[t.self]; r.live() == 1 {
+		if r := a.registers[t.self]; r.live() {
 			b := r.Server
 			b.Sequence = r.sequence
 			all = append(all, b)
@@ -166,7 +177,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range servers {
-		if r := t.held(b.Address, t.self); r.live() == 1 && r.Server.Generation == b.Generation {
+		if r := t.held(b.Address, t.self); r.live() && r.Server.Generation == b.Generation {
 			t.end(r, now)
 		}
 	}
--- a/membership/register.go
+++ b/membership/register.go
@@ -34,13 +34,8 @@
 // tombstone reports whether the register only keeps older records out.
 func (r *Register) tombstone() bool { return r.Ended || r.Server.State == Leaving }
 
-// live returns 1 for a register that vouches and 0 for nil or a tombstone.
-func (r *heldRegister) live() int {
-	if r == nil || r.tombstone() {
-		return 0
-	}
-	return 1
-}
+// live reports whether the register vouches; nil does not.
+func (r *heldRegister) live() bool { return r != nil && !r.tombstone() }
 
 // heldRegister is a register as one table holds it.
 type heldRegister struct {
--- a/membership/replicate.go
+++ b/membership/replicate.go
@@ -170,7 +170,7 @@
 	}
 	t.store(o, r, now)
 	t.publish(at)
-	if own := t.held(at, t.self); own.live() == 1 {
+	if own := t.held(at, t.self); own.live() {
 		t.settle(own, &r, now)
 	}
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -20,6 +20,9 @@
 	// leaseMargin is how much longer than its lease a copy lives once its origin
 	// is lost.
 	leaseMargin = time.Second
+	// sweepPeriod is the time between searches of all addresses for tombstones
+	// that are too old.
+	sweepPeriod = 10 * time.Second
 	// pauseThreshold is the gap between two calls of Tick from which on the
 	// process counts as having been paused.
 	pauseThreshold = time.Second
@@ -48,15 +51,18 @@
 
 	mu      sync.Mutex
 	version uint64
-	owned   int
+	// owned are the addresses that this origin vouches for.
+	owned map[netip.AddrPort]bool
 	// doublings is how often the granted lease was doubled.
 	doublings int
 	// longest is the longest lease granted so far; others learn it.
 	longest  time.Duration
 	lastTick time.Time
-	servers  map[netip.AddrPort]*address
-	origins  map[Origin]*originState
-	view     atomic.Pointer[View]
+	// lastSweep is when all addresses were last searched for what has ended.
+	lastSweep time.Time
+	servers   map[netip.AddrPort]*address
+	origins   map[Origin]*originState
+	view      atomic.Pointer[View]
 }
 
 // address is what the table knows of one address.
@@ -89,7 +95,8 @@
 func (t *Table) clear() {
 	t.servers = make(map[netip.AddrPort]*address, initialTableEntries)
 	t.origins = map[Origin]*originState{}
-	t.owned, t.doublings, t.longest = 0, 0, 0
+	t.owned = map[netip.AddrPort]bool{}
+	t.doublings, t.longest = 0, 0
 	t.view.Store(&View{Services: map[string][]BackendServer{}})
 }
 
@@ -108,7 +115,7 @@
 // again only once that number is far smaller.
 func (t *Table) lease() time.Duration {
 	perSecond := func(doublings int) float64 {
-		return float64(t.owned) * announcesPerLease / (t.base << doublings).Seconds()
+		return float64(len(t.owned)) * announcesPerLease / (t.base << doublings).Seconds()
 	}
 	for t.doublings < maxLeaseDoublings && perSecond(t.doublings) > maxAnnouncements {
 		t.doublings++
@@ -210,8 +217,12 @@
 		t.servers[r.Server.Address] = a
 	}
 	next := &heldRegister{Register: r, sequence: r.Server.Sequence, learned: now, expires: now}
-	if o == t.self {
-		t.owned += next.live() - a.registers[o].live()
+	switch {
+	case o != t.self:
+	case next.live():
+		t.owned[r.Server.Address] = true
+	default:
+		delete(t.owned, r.Server.Address)
 	}
 	a.registers[o] = next
 	return next
