Keep orders at most once through late and doubled commands

Cause: a claim whose call was delayed could be granted after its arrival had released the key and gone, which left the key claimed by nobody; the ledger forgot the oldest claims when it was full, so that an order could run again; an answer kept only its media type; a retry past the caller's deadline waited for the ledger.

Change: claims live for an hour of log time, which control hosts put into commands; a full ledger refuses new claims. A release also remembers its token, so that a delayed claim is not granted. Answers keep their end-to-end fields up to 64 KiB and 8 KiB of header; a larger one settles the key as ran, and a resend is told so with the verdict Ran. The caller waits for the writing of an outcome at most until its deadline; a stopping entry waits for all of them.

Proof: TestOrderRunsAtMostOnce drives dispatchers step by step through killed entries, lost, doubled and delayed commands and a lost leader; TestOneHolderOfAKey holds the ledger against a model. Not covered: a pin that moves an order's home regions while its claim lives in the old region's group.

--- a/caller/matrix_test.go
+++ b/caller/matrix_test.go
@@ -34,7 +34,7 @@
 // memoryClaims is a ledger without replication.
 type memoryClaims struct{ machine *ledger.Machine }
 
-func (m memoryClaims) Apply(_ context.Context, c ledger.Command) (ledger.Result, error) {
+func (m memoryClaims) Apply(_ context.Context, _ []string, c ledger.Command) (ledger.Result, error) {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return ledger.Result{}, err
--- a/control/control.go
+++ b/control/control.go
@@ -129,6 +129,7 @@
 
 // apply carries out a ledger command.
 func (c *Control) apply(ctx context.Context, p peer.LedgerCommand) (ledger.Result, error) {
+	p.Command.Now = time.Now().UnixMilli()
 	data, err := json.Marshal(p.Command)
 	if err != nil {
 		return ledger.Result{}, errors.Wrap(err, "encode ledger command")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,8 +34,10 @@
 
 // Claims is the ledger as an entry sees it.
 type Claims interface {
-	// Apply carries out a ledger command durably.
-	Apply(ctx context.Context, c ledger.Command) (ledger.Result, error)
+	// Apply carries out a ledger command durably in the ledger of the home
+	// regions, or in the common one if there are none. After an error the command
+	// may still be carried out later.
+	Apply(ctx context.Context, homes []string, c ledger.Command) (ledger.Result, error)
 }
 
 // Dispatcher carries requests to backend servers.
@@ -55,6 +57,7 @@
 
 	ejector  balance.Ejector
 	inFlight sync.Map // netip.AddrPort to *balance.InFlight
+	outcomes sync.WaitGroup
 }
 
 // Dispatch carries the request to a backend server and returns its answer. Its
@@ -199,7 +202,3 @@
 
 // newToken returns a token that identifies one arrival.
 func newToken() string { return request.NewID() }
-
-// settleTimeout bounds the storing of an order's outcome, also after the
-// caller has gone.
-const settleTimeout = 2 * time.Second
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -7,32 +7,64 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"tanagerbarrow/backend"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/request"
 	"tanagerbarrow/verdict"
 )
 
-// The bounds of what is held of an order, in bytes.
+// maxOrderBytes bounds the body of an order, which is held, in bytes.
+const maxOrderBytes = 1 << 20
+
+// settleTimeout bounds the writing of an order's outcome, also after the
+// caller has gone.
+const settleTimeout = 2 * time.Second
+
+// The codes of orders.
 const (
-	maxOrderBytes  = 1 << 20
-	maxAnswerBytes = 256 << 10
+	// CodeLedgerUnavailable means that no quorum answered in time.
+	CodeLedgerUnavailable = "ledger_unavailable"
+	// CodeLedgerFull means that the ledger has no room for another claim.
+	CodeLedgerFull = "ledger_full"
+	// CodeOrderTooLarge means that the order's body passed its bound.
+	CodeOrderTooLarge = "order_too_large"
+	// CodeKeyReused means that the key was used for another order.
+	CodeKeyReused = "key_reused"
+	// CodeOutcomeUnknown means that an earlier arrival of the order is in
+	// progress or has no known outcome.
+	CodeOutcomeUnknown = "outcome_unknown"
+	// CodeAnswerNotStored means that the order ran but its answer was too large
+	// to store.
+	CodeAnswerNotStored = "answer_not_stored"
 )
 
 // order claims the order's key, sends the order, and stores its outcome.
 func (d *Dispatcher) order(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error) {
-	held, err := holdBody(h)
+	ctx, cancel := context.WithTimeout(ctx, ledger.MaxOrderDuration)
+	res, err := d.claimAndSend(ctx, r, h)
 	if err != nil {
+		cancel()
 		return nil, err
 	}
-	claim := ledger.Command{
-		Op: ledger.OpClaim, Key: claimKey(r), Token: newToken(), Digest: digest(h, held),
+	res.Body = &cancelingBody{ReadCloser: res.Body, cancel: cancel}
+	return res, nil
+}
+
+// claimAndSend claims the order's key and sends the order if it was granted.
+func (d *Dispatcher) claimAndSend(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error) {
+	held, err := holdBody(h)
+	if err != nil {
+		return nil, err
 	}
-	result, err := d.Claims.Apply(ctx, claim)
+	claim := ledger.Command{Op: ledger.OpClaim, Key: claimKey(r), Token: newToken(), Digest: digest(h, held)}
+	result, err := d.Claims.Apply(ctx, r.HomeRegions, claim)
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "ledger_unavailable",
+		d.background(func() { d.release(ctx, r, claim) })
+		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, CodeLedgerUnavailable,
 			"claim an order of service %q", r.Service.Name)
 	}
 	if result.Outcome != ledger.Granted {
@@ -40,38 +72,52 @@
 	}
 	h.ContentLength = int64(len(held))
 	res, err := d.attempts(ctx, r, h, heldBody(held))
-	if err != nil {
-		d.releaseIfNotRun(ctx, claim, err)
-		return nil, err
+	if err == nil {
+		return d.settle(ctx, r, claim, res)
 	}
-	return d.settle(ctx, claim, res)
+	if verdict.Of(err) == verdict.NotRun {
+		d.finish(ctx, func() { d.release(ctx, r, claim) })
+	}
+	return nil, err
 }
 
 // holdBody reads the whole body of an order.
 func holdBody(h *http.Request) ([]byte, error) {
-	if h.Body == nil {
+	if h.Body == nil || h.Body == http.NoBody {
 		return nil, nil
 	}
 	held, err := io.ReadAll(io.LimitReader(h.Body, maxOrderBytes+1))
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "body_cut", "read the order's body")
+		return nil, bodyError(err)
 	}
 	if len(held) > maxOrderBytes {
-		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "order_too_large",
+		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, CodeOrderTooLarge,
 			"an order has more than %d bytes", maxOrderBytes)
 	}
 	return held, nil
 }
 
-// claimKey returns the ledger's key of an order.
+// bodyError returns the error of a body that was read before anything was sent.
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return verdict.Wrap(err, verdict.NotRun, http.StatusRequestEntityTooLarge, backend.CodeBodyTooLarge,
+			"the body has more than %d bytes", tooLarge.Limit)
+	}
+	return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, backend.CodeBodyCut, "read the order's body")
+}
+
+// claimKey returns the ledger's key of an order. It is a hash, so that neither
+// the key nor the client account stands in the ledger's files.
 func claimKey(r *request.Request) string {
-	return r.Service.Name + "\x00" + r.Account + "\x00" + r.Key
+	sum := sha256.Sum256([]byte(r.Service.Name + "\x00" + r.Account + "\x00" + r.Key))
+	return hex.EncodeToString(sum[:])
 }
 
 // digest returns a hash over what makes two orders the same.
 func digest(h *http.Request, held []byte) string {
 	sum := sha256.New()
-	for _, part := range []string{h.Method, h.URL.Path, h.URL.RawQuery} {
+	for _, part := range []string{h.Method, h.URL.EscapedPath(), h.URL.RawQuery} {
 		sum.Write([]byte(part))
 		sum.Write([]byte{0})
 	}
@@ -79,68 +125,107 @@
 	return hex.EncodeToString(sum.Sum(nil))
 }
 
-// earlier answers an order whose key was claimed before.
+// earlier answers an order that this arrival may not send.
 func earlier(r *request.Request, result ledger.Result) (*http.Response, error) {
 	switch result.Outcome {
 	case ledger.Settled:
-		return storedResponse(result.Answer), nil
+		return storedResponse(r, result.Answer)
 	case ledger.Conflict:
-		return nil, verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, "key_reused",
+		return nil, verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, CodeKeyReused,
 			"%s was used before with another request to service %q", request.KeyHeader, r.Service.Name)
+	case ledger.Full:
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeLedgerFull,
+			"the ledger has no room for another order of service %q", r.Service.Name)
+	case ledger.Released:
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeLedgerUnavailable,
+			"the claim of an order of service %q came too late", r.Service.Name)
 	default:
-		return nil, verdict.New(verdict.MayHaveRun, http.StatusConflict, "outcome_unknown",
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusConflict, CodeOutcomeUnknown,
 			"an order to service %q with this %s has no known outcome", r.Service.Name, request.KeyHeader)
 	}
 }
 
 // storedResponse returns a stored answer as a response.
-func storedResponse(a *ledger.Answer) *http.Response {
-	res := &http.Response{
-		StatusCode: a.Status, Header: http.Header{},
-		Body: io.NopCloser(bytes.NewReader(a.Body)), ContentLength: int64(len(a.Body)),
-	}
-	if a.ContentType != "" {
-		res.Header.Set("Content-Type", a.ContentType)
+func storedResponse(r *request.Request, a *ledger.Answer) (*http.Response, error) {
+	if a == nil || a.Omitted {
+		return nil, verdict.New(verdict.Ran, http.StatusConflict, CodeAnswerNotStored,
+			"the order to service %q with this %s ran, but its answer was not stored", r.Service.Name, request.KeyHeader)
 	}
-	return res
+	return &http.Response{
+		StatusCode: a.Status, Header: http.Header(a.Header).Clone(),
+		Body: io.NopCloser(bytes.NewReader(a.Body)), ContentLength: int64(len(a.Body)),
+	}, nil
 }
 
-// releaseIfNotRun gives the key back after a failure that proves that the
-// order did not run.
-func (d *Dispatcher) releaseIfNotRun(ctx context.Context, claim ledger.Command, err error) {
-	if verdict.Of(err) != verdict.NotRun {
-		return
-	}
+// release gives the key back: this arrival will never send the order.
+func (d *Dispatcher) release(ctx context.Context, r *request.Request, claim ledger.Command) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
-	_, _ = d.Claims.Apply(ctx, ledger.Command{Op: ledger.OpRelease, Key: claim.Key, Token: claim.Token})
+	_, _ = d.Claims.Apply(ctx, r.HomeRegions, ledger.Command{Op: ledger.OpRelease, Key: claim.Key, Token: claim.Token})
 }
 
-// settle stores the answer before the caller gets it. An answer that cannot be
-// stored still goes to the caller; the key then stays claimed.
-func (d *Dispatcher) settle(ctx context.Context, claim ledger.Command, res *http.Response) (*http.Response, error) {
-	whole, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+// settle stores the answer before the caller gets it, unless the caller's
+// deadline comes first. Where storing fails the key stays claimed.
+func (d *Dispatcher) settle(
+	ctx context.Context, r *request.Request, claim ledger.Command, res *http.Response,
+) (*http.Response, error) {
+	whole, err := io.ReadAll(io.LimitReader(res.Body, ledger.MaxAnswerBytes+1))
 	if err != nil {
 		_ = res.Body.Close()
-		return nil, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_cut", "read the order's answer")
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, backend.CodeAnswerCut,
+			"read the order's answer of service %q", r.Service.Name)
 	}
-	if len(whole) > maxAnswerBytes {
-		res.Body = joined{Reader: io.MultiReader(bytes.NewReader(whole), res.Body), Closer: res.Body}
-		return res, nil
+	answer := &ledger.Answer{Status: res.StatusCode, Omitted: true}
+	if len(whole) <= ledger.MaxAnswerBytes {
+		answer = &ledger.Answer{Status: res.StatusCode, Header: res.Header.Clone(), Body: whole}
 	}
-	err = res.Body.Close()
-	answer := &ledger.Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: whole}
+	d.finish(ctx, func() { d.store(ctx, r, claim, answer) })
+	res.Body = joined{Reader: io.MultiReader(bytes.NewReader(whole), res.Body), Closer: res.Body}
+	return res, nil
+}
+
+// store settles the claim with the answer.
+func (d *Dispatcher) store(ctx context.Context, r *request.Request, claim ledger.Command, answer *ledger.Answer) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	settle := ledger.Command{Op: ledger.OpSettle, Key: claim.Key, Token: claim.Token, Answer: answer}
-	_, settleErr := d.Claims.Apply(ctx, settle)
-	_ = errors.CombineErrors(err, settleErr)
-	res.Body = io.NopCloser(bytes.NewReader(whole))
-	return res, nil
+	_, _ = d.Claims.Apply(ctx, r.HomeRegions, settle)
+}
+
+// background runs f in a goroutine that [Dispatcher.Drain] waits for.
+func (d *Dispatcher) background(f func()) { d.outcomes.Go(f) }
+
+// finish runs f in the background and waits for it until ctx ends.
+func (d *Dispatcher) finish(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	d.background(func() {
+		defer close(done)
+		f()
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
+// Drain returns once the outcomes of all orders are written or given up.
+func (d *Dispatcher) Drain() { d.outcomes.Wait() }
+
 // joined reads from one place and closes another.
 type joined struct {
 	io.Reader
 	io.Closer
 }
+
+// cancelingBody ends a context when the answer is closed.
+type cancelingBody struct {
+	io.ReadCloser
+
+	cancel context.CancelFunc
+}
+
+// Close closes the answer.
+func (b *cancelingBody) Close() error {
+	b.cancel()
+	return b.ReadCloser.Close()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,8 @@
 	callers   *platform.Server
 	admin     *platform.Server
 	peerLinks net.Listener
+
+	dispatcher *dispatch.Dispatcher
 }
 
 // New opens the listeners of an entry. Run serves on them.
@@ -79,16 +81,17 @@
 
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
-	front := &caller.Front{
+	e.dispatcher = &dispatch.Dispatcher{
+		Members:       e.table.View,
 		Configuration: e.follower.current,
-		Dispatcher: &dispatch.Dispatcher{
-			Members:       e.table.View,
-			Configuration: e.follower.current,
-			Regions:       e.settings.Regions,
-			Exchanger:     backend.NewExchanger(),
-			Claims:        &claims{controls: controls},
-			Retries:       limit.NewRetryBudget(),
-		},
+		Regions:       e.settings.Regions,
+		Exchanger:     backend.NewExchanger(),
+		Claims:        newClaims(e.settings.Regions, controls),
+		Retries:       limit.NewRetryBudget(),
+	}
+	front := &caller.Front{
+		Configuration:  e.follower.current,
+		Dispatcher:     e.dispatcher,
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
 		RequestTimeout: e.settings.Limits.RequestTimeout,
@@ -139,6 +142,7 @@
 func (e *Entry) shutdown() error {
 	e.ready.Set(reasonStopping, true)
 	err := e.callers.Shutdown(e.settings.Limits.DrainTimeout)
+	e.dispatcher.Drain()
 	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.peerLinks.Close())
 	e.peers.Close()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,39 +1,75 @@
 package ledger
 
-import (
-	"encoding/json"
-	"sync"
+import "time"
 
-	"github.com/cockroachdb/errors"
+// Lifetime is how long a claim is remembered after its last grant, in log time.
+// A caller that sends a key again later starts a new order.
+const Lifetime = time.Hour
+
+// MaxOrderDuration bounds an order in progress. It lies below [Lifetime] by
+// more than the clocks of control hosts may differ.
+const MaxOrderDuration = 10 * time.Minute
+
+// The bounds of one stored answer, in bytes.
+const (
+	MaxAnswerBytes = 64 << 10
+	MaxHeaderBytes = 8 << 10
 )
 
-// maxClaims bounds the remembered claims; the oldest is forgotten first.
-const maxClaims = 200_000
+// The bounds of one ledger group.
+const (
+	// maxClaims bounds the remembered grants. A full ledger grants no new claim.
+	maxClaims = 2_000_000
+	// maxAnswersBytes bounds all stored answers, in bytes. Past it orders are
+	// settled without their answers.
+	maxAnswersBytes = 256 << 20
+	// maxReleased bounds the remembered tokens that released one key.
+	maxReleased = 8
+)
 
-// Outcome says what became of a claim.
+// Outcome says what became of a command.
 type Outcome string
 
-// The outcomes of a claim.
+// The outcomes of a command.
 const (
-	// Granted means that the caller of Claim alone may send the order.
+	// Granted means that the arrival with the token alone may send the order.
 	Granted Outcome = "granted"
 	// Pending means that another arrival holds the claim; whether the order
 	// ran is not known.
 	Pending Outcome = "pending"
-	// Settled means that the order ran and its answer is stored.
+	// Settled means that the order ran.
 	Settled Outcome = "settled"
 	// Conflict means that the key was used with another body.
 	Conflict Outcome = "conflict"
+	// Released means that the arrival gave the key back or never held it; it
+	// may not send the order.
+	Released Outcome = "released"
+	// Full means that the ledger has no room for another claim.
+	Full Outcome = "full"
 )
 
 // Answer is a stored response.
 type Answer struct {
 	// Status is the HTTP status code.
 	Status int `json:"status"`
-	// ContentType is the response's media type.
-	ContentType string `json:"content_type,omitempty"`
+	// Header are the response's end-to-end fields.
+	Header map[string][]string `json:"header,omitempty"`
 	// Body is the response's body.
 	Body []byte `json:"body,omitempty"`
+	// Omitted means that the answer was too large to store.
+	Omitted bool `json:"omitted,omitempty"`
+}
+
+// size returns about how much memory the answer takes, in bytes.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
 }
 
 // Op is what a command does.
@@ -45,139 +81,32 @@
 	OpClaim Op = "claim"
 	// OpSettle stores the answer of the claimed order.
 	OpSettle Op = "settle"
-	// OpRelease gives the key back: the order provably did not run.
+	// OpRelease gives the key back: the arrival provably did not run and will
+	// never send the order. A claim with the same token that comes later, because
+	// it was delayed, is not granted.
 	OpRelease Op = "release"
 )
 
-// Command is one change of the ledger.
+// Command is one change of the ledger. A command may be repeated and delayed.
 type Command struct {
 	// Op is what the command does.
 	Op Op `json:"op"`
-	// Key is the idempotency key, prefixed by its client account and service.
+	// Key identifies the order among all client accounts and services.
 	Key string `json:"key"`
-	// Token identifies the arrival that claims.
+	// Token identifies the arrival that claims; no other arrival has it.
 	Token string `json:"token"`
 	// Digest covers the method, the path and the body of the order.
 	Digest string `json:"digest,omitempty"`
-	// Answer is the stored response of a settled order.
+	// Answer is the response of a settled order.
 	Answer *Answer `json:"answer,omitempty"`
+	// Now is the time of the proposing control host, in milliseconds since 1970.
+	Now int64 `json:"now,omitempty"`
 }
 
 // Result is the ledger's reply to a command.
 type Result struct {
-	// Outcome says what became of the claim.
+	// Outcome says what became of the command.
 	Outcome Outcome `json:"outcome"`
 	// Answer is the stored response if the outcome is [Settled].
 	Answer *Answer `json:"answer,omitempty"`
 }
-
-// claim is what is known of one key.
-type claim struct {
-	Key    string  `json:"key"`
-	Token  string  `json:"token"`
-	Digest string  `json:"digest"`
-	Answer *Answer `json:"answer,omitempty"`
-}
-
-// Machine holds the claims. It is deterministic over its commands.
-type Machine struct {
-	mu     sync.Mutex
-	claims map[string]*claim
-	order  []string
-}
-
-// NewMachine returns an empty ledger.
-func NewMachine() *Machine { return &Machine{claims: map[string]*claim{}} }
-
-// Apply carries out one logged command and returns its [Result] as JSON.
-func (m *Machine) Apply(data []byte) ([]byte, error) {
-	var c Command
-	if err := json.Unmarshal(data, &c); err != nil {
-		return nil, errors.Wrap(err, "decode ledger command")
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch c.Op {
-	case OpClaim:
-		return json.Marshal(m.claim(c))
-	case OpSettle, OpRelease:
-		return json.Marshal(m.finish(c))
-	default:
-		return nil, errors.Newf("ledger operation %q is unknown", c.Op)
-	}
-}
-
-// claim grants a free key. The same token gets its grant again.
-func (m *Machine) claim(c Command) Result {
-	held, ok := m.claims[c.Key]
-	if !ok {
-		m.claims[c.Key] = &claim{Key: c.Key, Token: c.Token, Digest: c.Digest}
-		m.order = append(m.order, c.Key)
-		m.forgetOldest()
-		return Result{Outcome: Granted}
-	}
-	switch {
-	case held.Digest != c.Digest:
-		return Result{Outcome: Conflict}
-	case held.Answer != nil:
-		return Result{Outcome: Settled, Answer: held.Answer}
-	case held.Token == c.Token:
-		return Result{Outcome: Granted}
-	default:
-		return Result{Outcome: Pending}
-	}
-}
-
-// finish settles or releases a claim that the token still holds.
-func (m *Machine) finish(c Command) Result {
-	held, ok := m.claims[c.Key]
-	if !ok || held.Token != c.Token {
-		return Result{Outcome: Conflict}
-	}
-	if c.Op == OpRelease && held.Answer == nil {
-		delete(m.claims, c.Key)
-		return Result{Outcome: Granted}
-	}
-	if held.Answer == nil {
-		held.Answer = c.Answer
-	}
-	return Result{Outcome: Settled, Answer: held.Answer}
-}
-
-// forgetOldest keeps the ledger within its bound.
-func (m *Machine) forgetOldest() {
-	for len(m.order) > maxClaims {
-		delete(m.claims, m.order[0])
-		m.order = m.order[1:]
-	}
-}
-
-// Snapshot returns the ledger's state.
-func (m *Machine) Snapshot() ([]byte, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var all []*claim
-	for _, key := range m.order {
-		if c, ok := m.claims[key]; ok {
-			all = append(all, c)
-		}
-	}
-	return json.Marshal(all)
-}
-
-// Restore replaces the ledger's state by a snapshot.
-func (m *Machine) Restore(data []byte) error {
-	var all []*claim
-	if err := json.Unmarshal(data, &all); err != nil {
-		return errors.Wrap(err, "decode ledger snapshot")
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.claims = map[string]*claim{}
-	m.order = nil
-	for _, c := range all {
-		m.claims[c.Key] = c
-		m.order = append(m.order, c.Key)
-	}
-	return nil
-}
