Condemn silent connections and pass every shape of answer on

Change: a read on a reused connection waits one to two seconds for the header of its answer. A silent connection is given up together with the idle ones that carried no whole answer since, and the read goes to the same backend server over a fresh one; the server is not ejected. Requests that are not idempotent reuse only connections proven within the last second. One deadline serves many exchanges. Trailers reach the caller.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -35,9 +35,21 @@
 	RequestID string
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
-	// SilenceLimit bounds the wait for the first byte of the answer on a reused
-	// connection; 0 means that only the deadline does.
+	// SilenceLimit bounds the wait for the header of the answer on a reused
+	// connection, which ends after one to two such times; 0 means that only the
+	// deadline bounds it.
 	SilenceLimit time.Duration
+	// MaxIdle bounds how long a reused connection was idle; 0 means any time.
+	MaxIdle time.Duration
+}
+
+// provenSince returns since when a reused connection must have carried a whole
+// answer.
+func (a *Attempt) provenSince() time.Time {
+	if a.MaxIdle == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(-a.MaxIdle)
 }
 
 // streams reports whether the body is sent while the answer is awaited.
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -42,6 +42,8 @@
 	proven time.Time
 	// reused is whether the connection carried an exchange before this one.
 	reused bool
+	// silentAt is when reads fail for silence, or zero.
+	silentAt time.Time
 	// received is whether a byte arrived in this exchange.
 	received bool
 
@@ -123,14 +125,31 @@
 		return true
 	}
 	var peeked error
-	err := c.raw.Read(func(fd uintptr) bool {
+	err := c.raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, peeked = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return true
 	})
 	return err == nil && errors.Is(peeked, unix.EAGAIN)
 }
 
+// limitSilence makes reads on a reused connection fail after one to two times
+// the limit, or never if it is 0. One deadline serves many exchanges, because
+// setting it costs more than a request should pay.
+func (c *conn) limitSilence(limit time.Duration) {
+	if limit == 0 || !c.reused {
+		if !c.silentAt.IsZero() {
+			c.silentAt = time.Time{}
+			_ = c.SetReadDeadline(time.Time{})
+		}
+		return
+	}
+	now := time.Now()
+	if c.silentAt.Sub(now) < limit {
+		c.silentAt = now.Add(2 * limit)
+		_ = c.SetReadDeadline(c.silentAt)
+	}
+}
+
 // connReader reads from a connection and bounds the header of an answer.
 type connReader conn
 
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -107,7 +107,7 @@
 // Exchange sends the attempt once. Its errors are *[verdict.Error]. The caller
 // closes the response's body and reads it from one goroutine.
 func (x *Exchanger) Exchange(ctx context.Context, to *membership.BackendServer, a *Attempt) (*http.Response, error) {
-	c, err := x.pool.get(ctx, to.Address)
+	c, err := x.pool.get(ctx, to.Address, a.provenSince())
 	if err != nil {
 		return nil, dialFailure(ctx, err, to)
 	}
@@ -137,16 +137,20 @@
 	} else if err := e.write(r); err != nil {
 		return nil, err
 	}
-	if a.SilenceLimit > 0 && e.conn.reused {
-		_ = e.conn.SetReadDeadline(time.Now().Add(a.SilenceLimit))
-	}
+	e.conn.limitSilence(a.SilenceLimit)
 	res, err := e.readHeader(r)
-	if err == nil && a.SilenceLimit > 0 && e.conn.reused {
-		err = e.conn.SetReadDeadline(time.Time{})
+	if err == nil && !e.buffered(res) {
+		e.conn.limitSilence(0)
 	}
 	return res, err
 }
 
+// buffered reports whether the whole answer has arrived.
+func (e *exchange) buffered(res *http.Response) bool {
+	return res.Body == http.NoBody ||
+		res.ContentLength >= 0 && res.ContentLength <= int64(e.conn.in.Buffered())
+}
+
 // write writes a request whose body is held.
 func (e *exchange) write(r *http.Request) error {
 	if err := r.Write(e.conn.out); err != nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -21,9 +21,10 @@
 // newPool returns a pool without connections.
 func newPool() *pool { return &pool{servers: map[netip.AddrPort]*idleConns{}} }
 
-// get returns an idle connection or opens one.
-func (p *pool) get(ctx context.Context, to netip.AddrPort) (*conn, error) {
-	for c := p.take(to); c != nil; c = p.take(to) {
+// get returns an idle connection that carried a whole answer since the given
+// time, or opens one.
+func (p *pool) get(ctx context.Context, to netip.AddrPort, since time.Time) (*conn, error) {
+	for c := p.take(to, since); c != nil; c = p.take(to, since) {
 		if c.quiet() {
 			c.reused = true
 			c.received = false
@@ -34,8 +35,9 @@
 	return dial(ctx, to)
 }
 
-// take removes the newest idle connection, or returns nil.
-func (p *pool) take(to netip.AddrPort) *conn {
+// take removes the newest idle connection, or returns nil if it was not proven
+// since the given time.
+func (p *pool) take(to netip.AddrPort, since time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle, ok := p.servers[to]
@@ -44,6 +46,9 @@
 	}
 	last := len(idle.conns) - 1
 	c := idle.conns[last]
+	if c.proven.Before(since) {
+		return nil
+	}
 	idle.conns[last] = nil
 	idle.conns = idle.conns[:last]
 	return c
--- /dev/null
+++ b/backend/silent_test.go
@@ -0,0 +1,141 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tanagerbarrow/membership"
+	"tanagerbarrow/verdict"
+)
+
+// freezer is a backend server whose open connections can go silent for good
+// while new ones work.
+type freezer struct {
+	net.Listener
+
+	opened atomic.Int64
+	mu     sync.Mutex
+	frozen chan struct{}
+}
+
+// frozenConn passes no byte once its freeze has come.
+type frozenConn struct {
+	net.Conn
+
+	frozen <-chan struct{}
+}
+
+func (f *freezer) Accept() (net.Conn, error) {
+	c, err := f.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	f.opened.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &frozenConn{Conn: c, frozen: f.frozen}, nil
+}
+
+// freeze makes the open connections go silent.
+func (f *freezer) freeze() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.frozen)
+	f.frozen = make(chan struct{})
+}
+
+func (c *frozenConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.frozen:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+// startFreezer starts a backend server that answers once meet requests are there.
+func startFreezer(t *testing.T, meet int) (*freezer, *membership.BackendServer) {
+	t.Helper()
+	var gate sync.WaitGroup
+	gate.Add(meet)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/meet" {
+			gate.Done()
+			gate.Wait()
+		}
+		_, _ = io.WriteString(w, "whole")
+	}))
+	f := &freezer{Listener: s.Listener, frozen: make(chan struct{})}
+	s.Listener = f
+	s.Start()
+	t.Cleanup(s.Close)
+	return f, &membership.BackendServer{Service: "s", Address: s.Listener.Addr().(*net.TCPAddr).AddrPort()}
+}
+
+// get sends a read and reads the whole answer.
+func get(x *Exchanger, to *membership.BackendServer, path string, limit time.Duration) error {
+	a := &Attempt{Method: http.MethodGet, Path: path, Header: http.Header{}, Deadline: time.Now().Add(time.Minute), SilenceLimit: limit}
+	res, err := x.Exchange(context.Background(), to, a)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
+
+func TestSilentConnectionIsCondemnedWithThoseOfItsAge(t *testing.T) {
+	const conns = 3
+	f, to := startFreezer(t, conns)
+	x := NewExchanger()
+	t.Cleanup(x.Close)
+	var warm sync.WaitGroup
+	for range conns {
+		warm.Go(func() { _ = get(x, to, "/meet", 0) })
+	}
+	warm.Wait()
+	f.freeze()
+	err := get(x, to, "/", 20*time.Millisecond)
+	if verdict.As(err).Code != CodeSilent || verdict.Of(err) != verdict.MayHaveRun {
+		t.Fatalf("silent connection: %v with %v", err, verdict.Of(err))
+	}
+	if !ConnectionAtFault(err) || ServerAtFault(err) {
+		t.Fatalf("the server is blamed for its connection: %v", err)
+	}
+	if err := get(x, to, "/", time.Minute); err != nil {
+		t.Fatalf("after a silent connection: %v", err)
+	}
+	if n := f.opened.Load(); n != conns+1 {
+		t.Fatalf("%d connections were opened, want the silent ones and a fresh one", n)
+	}
+}
+
+func TestIdleConnectionOutlivesTheLimitOfSilence(t *testing.T) {
+	f, to := startFreezer(t, 0)
+	x := NewExchanger()
+	t.Cleanup(x.Close)
+	const limit = 10 * time.Millisecond
+	for range 3 {
+		if err := get(x, to, "/", 0); err != nil {
+			t.Fatal(err)
+		}
+		c := x.pool.take(to.Address, time.Time{})
+		c.reused = true
+		c.limitSilence(limit)
+		x.pool.put(c)
+		time.Sleep(3 * limit)
+	}
+	if err := get(x, to, "/", time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if n := f.opened.Load(); n != 1 {
+		t.Fatalf("%d connections were opened, want one for all requests", n)
+	}
+}
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,9 +25,7 @@
 		f.Log.Warn().Str("request_id", r.ID).Err(err).Msg("answer cut, connection aborted")
 		panic(http.ErrAbortHandler)
 	}
-	for name, values := range res.Trailer {
-		c.Response().Header()[http.TrailerPrefix+name] = values
-	}
+	maps.Copy(c.Response().Header(), res.Trailer)
 	f.Metrics.Request(r.Service.Name, r.Account, string(r.Class),
 		verdict.Ran.String(), res.StatusCode, time.Since(start))
 	return nil
@@ -52,6 +51,11 @@
 	}
 	header[telemetry.RequestIDHeader] = id
 	header[verdict.Header] = ranHeader
+	delete(res.Trailer, verdict.Header)
+	delete(res.Trailer, telemetry.RequestIDHeader)
+	for name := range res.Trailer {
+		header["Trailer"] = append(header["Trailer"], name)
+	}
 	if res.ContentLength >= 0 && len(res.Trailer) == 0 && hasBody(c.Request().Method, res.StatusCode) {
 		header["Content-Length"] = []string{strconv.FormatInt(res.ContentLength, 10)}
 	}
--- a/caller/matrix_test.go
+++ b/caller/matrix_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -55,6 +56,7 @@
 	mu    sync.Mutex
 	last  error
 	ended chan struct{}
+	once  sync.Once
 }
 
 func (o *outcomes) Dispatch(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error) {
@@ -63,7 +65,7 @@
 		o.mu.Lock()
 		o.last = err
 		o.mu.Unlock()
-		close(o.ended)
+		o.once.Do(func() { close(o.ended) })
 	}
 	return res, err
 }
@@ -106,7 +108,10 @@
 	}
 	routes := echo.New()
 	front.Register(routes)
-	return &testEntry{Server: httptest.NewServer(routes), outcomes: o, exchanger: exchanger}
+	e := &testEntry{Server: httptest.NewUnstartedServer(routes), outcomes: o, exchanger: exchanger}
+	e.Config.ErrorLog = log.New(io.Discard, "", 0)
+	e.Start()
+	return e
 }
 
 // kind is a kind of request.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,9 +22,14 @@
 // maxAttempts bounds the backend servers that one request is sent to.
 const maxAttempts = 3
 
+// maxIdle bounds how long a connection was idle before it carries a request
+// that is not idempotent: such a request can't be sent again where it turns out
+// that the connection went silent.
+const maxIdle = time.Second
+
 // silenceLimit bounds the wait of an idempotent request for the first byte of
 // its answer on a reused connection, which may have gone silent.
-const silenceLimit = 2 * time.Second
+const silenceLimit = time.Second
 
 // Exchanger sends one attempt to one backend server.
 type Exchanger interface {
@@ -195,6 +200,8 @@
 	}
 	if r.Class == request.Read {
 		a.SilenceLimit = silenceLimit
+	} else {
+		a.MaxIdle = maxIdle
 	}
 	b.attach(a, h.ContentLength)
 	return a
