--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
-	"sync"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/cockroachdb/errors"
 
 	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
@@ -17,13 +14,16 @@
 	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
 	"tanagerbarrow/request"
-	"tanagerbarrow/state"
 	"tanagerbarrow/verdict"
 )
 
 // maxAttempts bounds the backend servers that one request is sent to.
 const maxAttempts = 3
 
+// silenceLimit bounds the wait of an idempotent request for the first byte of
+// its answer on a reused connection, which may have gone silent.
+const silenceLimit = 2 * time.Second
+
 // Exchanger sends one attempt to one backend server.
 type Exchanger interface {
 	// Exchange returns the answer or an error that carries a verdict.
@@ -38,21 +38,14 @@
 
 // Dispatcher carries requests to backend servers.
 type Dispatcher struct {
-	// Members returns the known backend servers.
-	Members func() *membership.View
-	// Configuration returns the configuration in force.
-	Configuration func() *state.Configuration
-	// Regions maps each availability zone to its region.
-	Regions map[string]string
 	// Exchanger sends attempts.
 	Exchanger Exchanger
 	// Claims is the ledger.
 	Claims Claims
 	// Retries bounds retries.
 	Retries *limit.RetryBudget
-
-	ejector  balance.Ejector
-	inFlight sync.Map // netip.AddrPort to *balance.InFlight
+	// Balancer chooses backend servers.
+	Balancer *Balancer
 }
 
 // Dispatch carries the request to a backend server and returns its answer. Its
@@ -72,26 +65,51 @@
 	var tried []netip.AddrPort
 	var last error
 	for range maxAttempts {
-		to := d.pick(r, tried)
-		if to == nil {
+		started, err := d.Balancer.Reserve(ctx, r, tried)
+		if err != nil {
+			last = d.reserveError(r, err, last)
 			break
 		}
-		tried = append(tried, to.Address)
-		res, err := d.send(ctx, to, r, h, body)
+		to := started.Server.Record.Address
+		res, err := d.send(ctx, started, r, h, body)
 		if err == nil {
 			return res, nil
 		}
-		last = err
+		last = weaker(last, err)
+		if !backend.ConnectionAtFault(err) {
+			tried = append(tried, to)
+		}
 		if ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
 			break
 		}
 	}
-	if last == nil {
-		last = d.noServer(r)
-	}
 	return nil, last
 }
 
+// reserveError returns the error of a request that got no further backend
+// server: that of its last attempt, if there was one.
+func (d *Dispatcher) reserveError(r *request.Request, err, last error) error {
+	switch {
+	case last != nil:
+		return last
+	case errors.Is(err, errNoServer):
+		return d.noServer(r)
+	default:
+		return err
+	}
+}
+
+// weaker returns the newer error, but never lets it promise more than the
+// earlier one: a request that may have run in one attempt may have run.
+func weaker(earlier, newer error) error {
+	if earlier == nil || verdict.Of(earlier) == verdict.NotRun || verdict.Of(newer) != verdict.NotRun {
+		return newer
+	}
+	e := *verdict.As(newer)
+	e.Verdict = verdict.Of(earlier)
+	return &e
+}
+
 // mayRetry reports whether the request may be sent again after err. A request
 // that is not idempotent needs proof that it did not run.
 func mayRetry(r *request.Request, err error, body body) bool {
@@ -107,65 +125,46 @@
 		"service %q has no backend server in regions %q", r.Service.Name, r.HomeRegions)
 }
 
-// pick chooses the next backend server. An ejected one is chosen only where no
-// other is left.
-func (d *Dispatcher) pick(r *request.Request, tried []netip.AddrPort) *membership.BackendServer {
-	config := d.Configuration()
-	servers := d.Members().Services[r.Service.Name]
-	now := time.Now()
-	allowed := func(b *membership.BackendServer) bool {
-		return !config.ZonesOut[b.AvailabilityZone] && r.AllowedIn(d.Regions[b.AvailabilityZone]) &&
-			!slices.Contains(tried, b.Address)
-	}
-	healthy := func(b *membership.BackendServer) bool {
-		return allowed(b) && !d.ejector.Ejected(b.Address, now)
+// send sends one attempt and counts it until its answer is whole or closed. It
+// holds the beginning of the answer, so that an answer cut there is an error.
+func (d *Dispatcher) send(
+	ctx context.Context, on balance.Started, r *request.Request, h *http.Request, b body,
+) (*http.Response, error) {
+	start := time.Now()
+	to := &on.Server.Record
+	res, err := d.Exchanger.Exchange(ctx, to, newAttempt(r, h, b))
+	whole := false
+	if err == nil {
+		whole, err = holdAnswer(ctx, res, to)
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if to := balance.TwoChoices(servers, healthy, d.load, random); to != nil {
-		return to
+	answer := answerOf(ctx, res, err, time.Since(start))
+	if err != nil {
+		d.Balancer.Release(on, answer)
+		return nil, err
 	}
-	return balance.TwoChoices(servers, allowed, d.load, random)
-}
-
-// load returns this entry's requests in progress for each slot.
-func (d *Dispatcher) load(b *membership.BackendServer) float64 {
-	return float64(d.counter(b.Address).Load()) / float64(b.Slots)
-}
-
-// counter returns the count of requests in progress on an address.
-func (d *Dispatcher) counter(address netip.AddrPort) *balance.InFlight {
-	if c, ok := d.inFlight.Load(address); ok {
-		return c.(*balance.InFlight)
+	if whole {
+		d.Balancer.Release(on, answer)
+		return res, nil
 	}
-	c, _ := d.inFlight.LoadOrStore(address, &balance.InFlight{})
-	return c.(*balance.InFlight)
+	res.Body = &countedBody{ReadCloser: res.Body, release: func() { d.Balancer.Release(on, answer) }}
+	return res, nil
 }
 
-// send sends one attempt and counts it until its answer is closed.
-func (d *Dispatcher) send(
-	ctx context.Context, to *membership.BackendServer, r *request.Request, h *http.Request, b body,
-) (*http.Response, error) {
-	count := d.counter(to.Address)
-	count.Add(1)
-	res, err := d.Exchanger.Exchange(ctx, to, &backend.Attempt{
-		Method: h.Method, Path: h.URL.Path, Query: h.URL.RawQuery, Header: h.Header,
-		Body: b.reader(), ContentLength: h.ContentLength,
+// newAttempt returns an attempt at the request.
+func newAttempt(r *request.Request, h *http.Request, b body) *backend.Attempt {
+	a := &backend.Attempt{
+		Method: h.Method, Path: h.URL.Path, RawPath: h.URL.RawPath, Query: h.URL.RawQuery, Header: h.Header,
 		RequestID: r.ID, Deadline: r.Deadline,
-	})
-	if err != nil {
-		count.Add(-1)
-		if ctx.Err() == nil {
-			d.ejector.Failed(to.Address, time.Now())
-		}
-		return nil, err
 	}
-	d.ejector.Succeeded(to.Address)
-	res.Body = &countedBody{ReadCloser: res.Body, count: count}
-	return res, nil
+	if r.Class == request.Read {
+		a.SilenceLimit = silenceLimit
+	}
+	b.attach(a, h.ContentLength)
+	return a
 }
 
 // newToken returns a token that identifies one arrival.
-func newToken() string { return uuid.NewString() }
+func newToken() string { return request.NewID() }
 
 // settleTimeout bounds the storing of an order's outcome, also after the
 // caller has gone.
