Measure the distribution on 18 entry processes

bench/cmd/distribution starts the processes, admits 320 services, and measures the time from an operator's answer until the status shows the version on every entry, the bytes on the peer channel of control, and processor time.

Bytes are those of the messages, without TCP and IP headers.

--- /dev/null
+++ b/bench/cmd/distribution/main.go
@@ -0,0 +1,278 @@
+// Command distribution measures, on a system of separate processes on
+// loopback, how long an accepted change takes until every entry has it, and
+// what the distribution costs at rest and under changes.
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"tanagerbarrow/bench/cluster"
+	"tanagerbarrow/operator"
+	"tanagerbarrow/state"
+)
+
+// The fixed times of a measurement.
+const (
+	startTimeout = 30 * time.Second
+	pollPeriod   = 2 * time.Millisecond
+	// tickSeconds is the unit of processor time in /proc, in seconds.
+	tickSeconds = 0.01
+	// changesPerDay is the target of the letter.
+	changesPerDay = 6700
+	secondsPerDay = 86400
+)
+
+// options are the flags.
+type options struct {
+	binary            string
+	controls, entries int
+	services, changes int
+	rest, gap         time.Duration
+}
+
+func main() {
+	var o options
+	app := kingpin.New("distribution", "Measure the distribution of configurations.")
+	app.Flag("binary", "Path of the daemon.").Default("bin/tanagerbarrow").StringVar(&o.binary)
+	app.Flag("controls", "Number of control processes.").Default("1").IntVar(&o.controls)
+	app.Flag("entries", "Number of entry processes.").Default("18").IntVar(&o.entries)
+	app.Flag("services", "Number of admitted services.").Default("320").IntVar(&o.services)
+	app.Flag("changes", "Number of measured changes.").Default("30").IntVar(&o.changes)
+	app.Flag("rest", "Time of the measurement at rest.").Default("15s").DurationVar(&o.rest)
+	app.Flag("gap", "Time between two changes.").Default("500ms").DurationVar(&o.gap)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := o.measure(); err != nil {
+		fmt.Fprintln(os.Stderr, "distribution:", err)
+		os.Exit(1)
+	}
+}
+
+// measure starts the system and prints the figures.
+func (o *options) measure() error {
+	folder, err := os.MkdirTemp("", "tanagerbarrow-distribution-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	written, err := cluster.Write(folder, cluster.Size{
+		Controls: o.controls, Entries: o.entries,
+		Zones: map[string]string{"a": "north", "b": "north", "c": "south", "d": "south"}, ZoneOrder: []string{"a", "b", "c", "d"},
+	})
+	if err != nil {
+		return err
+	}
+	binary, err := filepath.Abs(o.binary)
+	if err != nil {
+		return err
+	}
+	running, err := cluster.Start(binary, written)
+	if err != nil {
+		return err
+	}
+	defer running.Stop()
+	var more []string
+	for _, p := range written.Controls[1:] {
+		more = append(more, "http://"+p.Operator.String())
+	}
+	m := &meter{running: running, client: operator.NewClient("http://"+written.Controls[0].Operator.String(), cluster.OperatorKey, more...)}
+	return m.run(o)
+}
+
+// meter measures a running system.
+type meter struct {
+	running *cluster.Running
+	client  *operator.Client
+}
+
+// run measures at rest and under changes.
+func (m *meter) run(o *options) error {
+	if err := m.prepare(o.services); err != nil {
+		return err
+	}
+	quiet, err := m.cost(func() error {
+		time.Sleep(o.rest)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	var took []time.Duration
+	busy, err := m.cost(func() error {
+		for i := range o.changes {
+			time.Sleep(o.gap)
+			d, err := m.change(state.Intent{Kind: state.PinAccount, Subject: fmt.Sprintf("account-%d", i), Regions: []string{"north"}})
+			if err != nil {
+				return err
+			}
+			took = append(took, d)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	m.print(o, quiet, busy, took)
+	return nil
+}
+
+// prepare admits the services and waits until every entry has them.
+func (m *meter) prepare(services int) error {
+	for end := time.Now().Add(startTimeout); ; time.Sleep(100 * time.Millisecond) {
+		if _, err := m.client.Configuration(); err == nil {
+			break
+		} else if time.Now().After(end) {
+			return errors.Wrap(err, "wait for control")
+		}
+	}
+	for i := range services {
+		if _, err := m.accept(state.Intent{Kind: state.AdmitService, Subject: fmt.Sprintf("service-%d", i)}); err != nil {
+			return err
+		}
+	}
+	_, err := m.inForce(uint64(services))
+	return err
+}
+
+// accept plans and confirms an intent.
+func (m *meter) accept(i state.Intent) (uint64, error) {
+	p, err := m.client.Plan(i)
+	if err != nil {
+		return 0, err
+	}
+	a, err := m.client.Confirm(p.ID, operator.Confirmation{Operator: "bench", Digest: p.Digest})
+	if err != nil || !a.Accepted {
+		return 0, errors.CombineErrors(err, errors.Newf("intent %+v: refusal %q, answer %+v", i, p.Refusal, a))
+	}
+	return a.Version, nil
+}
+
+// change accepts an intent and returns the time from the operator's answer
+// until the status shows the version on every entry.
+func (m *meter) change(i state.Intent) (time.Duration, error) {
+	version, err := m.accept(i)
+	if err != nil {
+		return 0, err
+	}
+	return m.inForce(version)
+}
+
+// inForce waits until the status shows the version on every entry.
+func (m *meter) inForce(version uint64) (time.Duration, error) {
+	begin := time.Now()
+	for time.Since(begin) < startTimeout {
+		s, err := m.client.Status()
+		if err != nil {
+			return 0, err
+		}
+		if !slices.ContainsFunc(s.Entries, func(h operator.HostStatus) bool { return !h.Heard || h.Version < version }) {
+			return time.Since(begin), nil
+		}
+		time.Sleep(pollPeriod)
+	}
+	return 0, errors.Newf("version %d is not in force after %s", version, startTimeout)
+}
+
+// cost is what a span of time cost.
+type cost struct {
+	seconds              float64
+	bytes                float64
+	controlCPU, entryCPU float64
+}
+
+// cost measures what happens during an action.
+func (m *meter) cost(action func() error) (cost, error) {
+	bytes, err := m.peerBytes()
+	if err != nil {
+		return cost{}, err
+	}
+	control, entry := m.processorSeconds(m.running.Controls), m.processorSeconds(m.running.Entries)
+	begin := time.Now()
+	if err := action(); err != nil {
+		return cost{}, err
+	}
+	c := cost{seconds: time.Since(begin).Seconds()}
+	c.controlCPU = m.processorSeconds(m.running.Controls) - control
+	c.entryCPU = m.processorSeconds(m.running.Entries) - entry
+	after, err := m.peerBytes()
+	c.bytes = after - bytes
+	return c, err
+}
+
+// peerBytes returns the bytes on the peer channels of all control processes,
+// both ways.
+func (m *meter) peerBytes() (float64, error) {
+	sum := 0.0
+	for _, p := range m.running.Controls {
+		r, err := http.NewRequest(http.MethodGet, "http://"+p.Operator.String()+"/v1/metrics", http.NoBody)
+		if err != nil {
+			return 0, err
+		}
+		r.Header.Set("Authorization", "Bearer "+cluster.OperatorKey)
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0, err
+		}
+		text, err := io.ReadAll(res.Body)
+		if err := errors.CombineErrors(err, res.Body.Close()); err != nil {
+			return 0, err
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			if fields := strings.Fields(line); len(fields) == 2 && strings.HasPrefix(line, "tanagerbarrow_peer_served_bytes_total") {
+				n, _ := strconv.ParseFloat(fields[1], 64)
+				sum += n
+			}
+		}
+	}
+	return sum, nil
+}
+
+// processorSeconds returns the processor time of the processes.
+func (m *meter) processorSeconds(processes []cluster.Process) float64 {
+	sum := 0.0
+	for _, p := range processes {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.running.PID(p.Name)))
+		if err != nil {
+			continue
+		}
+		_, rest, _ := strings.Cut(string(data), ") ")
+		fields := strings.Fields(rest)
+		user, _ := strconv.ParseFloat(fields[11], 64)
+		system, _ := strconv.ParseFloat(fields[12], 64)
+		sum += (user + system) * tickSeconds
+	}
+	return sum
+}
+
+// print prints the figures.
+func (m *meter) print(o *options, quiet, busy cost, took []time.Duration) {
+	slices.Sort(took)
+	at := func(q float64) time.Duration {
+		return took[min(int(q*float64(len(took))), len(took)-1)].Round(100 * time.Microsecond)
+	}
+	fmt.Printf("%d control, %d entries, %d services, %d changes with %s between\n", o.controls, o.entries, o.services, o.changes, o.gap)
+	fmt.Printf("accepted to in force on all entries, as status shows it: p50 %s, p90 %s, max %s\n", at(0.5), at(0.9), took[len(took)-1].Round(100*time.Microsecond))
+	for _, row := range []struct {
+		name string
+		cost cost
+	}{{"at rest", quiet}, {"under changes", busy}} {
+		c := row.cost
+		fmt.Printf("%-14s %8.0f B/s at control, %6.0f B/s per entry, processor: control %.2f%%, entry %.2f%% of a core each\n", row.name,
+			c.bytes/c.seconds, c.bytes/c.seconds/float64(o.entries), 100*c.controlCPU/c.seconds/float64(o.controls),
+			100*c.entryCPU/c.seconds/float64(o.entries))
+	}
+	perChange := (busy.bytes - quiet.bytes/quiet.seconds*busy.seconds) / float64(o.changes)
+	rate := float64(changesPerDay) / secondsPerDay
+	fmt.Printf("one change costs %.0f B in all; at %d changes a day %.0f B/s at control\n",
+		perChange, changesPerDay, quiet.bytes/quiet.seconds+perChange*rate)
+}
--- a/bench/integration/system_test.go
+++ b/bench/integration/system_test.go
@@ -54,6 +54,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startWritten(t, written)
+}
+
+// startWritten starts all processes of a system whose settings are written.
+func startWritten(t *testing.T, written *cluster.System) *system {
+	t.Helper()
 	s := &system{System: written, t: t, processes: map[string]*exec.Cmd{}}
 	t.Cleanup(s.stop)
 	for _, p := range s.Controls {
--- a/peer/server.go
+++ b/peer/server.go
@@ -91,6 +91,7 @@
 	if s.tls != nil {
 		conn = tls.Server(conn, s.tls)
 	}
+	conn = metered(conn, s.metrics)
 	session := &session{server: s, remote: conn.RemoteAddr().String()}
 	s.mu.Lock()
 	if s.unknown >= maxUnknown {
