Make one delta for all entries that hold the same version

Each of 18 watchers made its own delta of 320 services and checked its sum. The feed now keeps the deltas to the newest version.

--- a/state/feed.go
+++ b/state/feed.go
@@ -15,6 +15,8 @@
 	mu      sync.RWMutex
 	recent  []*Configuration
 	changed chan struct{}
+	// deltas lead from older versions to the newest one.
+	deltas map[uint64]*Delta
 }
 
 // Update brings a configuration up to date: by a delta or in full. Both are nil
@@ -66,6 +68,7 @@
 		f.recent = append([]*Configuration(nil), f.recent[1:]...)
 	}
 	f.recent = append(f.recent, c)
+	f.deltas = map[uint64]*Delta{}
 	close(f.changed)
 	f.changed = make(chan struct{})
 	return true
@@ -74,24 +77,36 @@
 // Since returns what brings a holder of version have up to date. known says
 // whether the holder has a configuration at all.
 func (f *Feed) Since(have uint64, known bool) Update {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if len(f.recent) == 0 {
 		return Update{}
 	}
 	newest := f.recent[len(f.recent)-1]
-	if !known {
+	switch {
+	case !known:
 		return Update{Full: newest}
-	}
-	if newest.Version <= have {
+	case newest.Version <= have:
 		return Update{}
 	}
+	if d := f.deltaFrom(have, newest); d != nil {
+		return Update{Delta: d}
+	}
+	return Update{Full: newest}
+}
+
+// deltaFrom returns the delta from a recent version, or nil; every holder of
+// that version gets the same one. The caller holds the lock.
+func (f *Feed) deltaFrom(have uint64, newest *Configuration) *Delta {
+	if d := f.deltas[have]; d != nil {
+		return d
+	}
 	for _, c := range f.recent {
 		if c.Version == have {
-			return Update{Delta: NewDelta(c, newest)}
+			f.deltas[have] = NewDelta(c, newest)
 		}
 	}
-	return Update{Full: newest}
+	return f.deltas[have]
 }
 
 // Resolve returns the configuration that an update leads to, or nil if it is
