--- a/cmd/tanagerctl/views.go
+++ b/cmd/tanagerctl/views.go
@@ -55,6 +55,10 @@
 	if len(s.SilentControls) > 0 {
 		fmt.Printf("\nno answer from control hosts: %s\n", strings.Join(s.SilentControls, ", "))
 	}
+	for _, row := range s.Held {
+		fmt.Printf("\nheld: %d backend servers of service %q in %s; the service is not admitted\n",
+			row.Servers, row.Service, row.AvailabilityZone)
+	}
 }
 
 // hostLine returns the table line of one entry host.
--- a/operator/message.go
+++ b/operator/message.go
@@ -37,6 +37,9 @@
 	Entries []HostStatus `json:"entries"`
 	// SilentControls are the control hosts that did not tell what they heard.
 	SilentControls []string `json:"silent_controls,omitempty"`
+	// Held are the backend servers that announced themselves for services that
+	// are not admitted; they get no work.
+	Held []state.CapacityRow `json:"held,omitempty"`
 }
 
 // HostStatus is what all control hosts together know of one entry host.
