--- a/consensus/raft/core.go
+++ b/consensus/raft/core.go
@@ -138,11 +138,25 @@
 		c.tickLeader()
 		return
 	}
-	if c.elapsed >= c.timeout && c.members().IsVoter(c.id) {
+	if c.elapsed >= c.timeout && c.mayCampaign() {
 		c.campaign(PreCandidate, false)
 	}
 }
 
+// mayCampaign reports whether the replica votes in a membership that is not
+// known to be superseded. A voter that is being removed may be the only one
+// whose log is long enough to lead until its removal is committed.
+func (c *Core) mayCampaign() bool {
+	records := c.log.memberships
+	for i, r := range records {
+		superseded := i+1 < len(records) && records[i+1].index <= c.log.commit
+		if !superseded && r.members.IsVoter(c.id) {
+			return true
+		}
+	}
+	return false
+}
+
 // tickLeader sends heartbeats and checks the quorum.
 func (c *Core) tickLeader() {
 	for _, p := range c.progress {
--- a/consensus/raft/core_test.go
+++ b/consensus/raft/core_test.go
@@ -19,19 +19,17 @@
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]int{1, 3, 3, 5, 5}).Draw(t, "size")
 		c := newCluster(t, size, rapid.Uint64().Draw(t, "seed"))
-		lost := 0
 		for i := range rapid.IntRange(20, 400).Draw(t, "steps") {
 			random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "step"), uint64(i)))
-			lost += randomStep(random, c, lost < (size-1)/2)
+			randomStep(random, c)
 		}
 		c.settle()
 		c.checkAllKept()
 	})
 }
 
-// randomStep carries out one step of a schedule and returns how many disks it
-// lost.
-func randomStep(random *rand.Rand, c *cluster, mayLose bool) int {
+// randomStep carries out one step of a schedule.
+func randomStep(random *rand.Rand, c *cluster) {
 	r := c.replicas[c.order[random.IntN(len(c.order))]]
 	crash := drawCrash(random)
 	l := c.leader()
@@ -55,16 +53,17 @@
 		c.start(r)
 	case kind < 94 && r.up:
 		c.compact(r, uint64(random.IntN(9)))
-	case kind < 97 && l != nil:
+	case kind < 96 && l != nil:
 		c.repair(l, crash)
+	case kind < 97 && l != nil && c.allAlive(l.core.Members()):
+		_, _ = l.core.ProposeMembership(l.core.Members().Remove(r.id))
+		c.handle(l, crash)
 	case kind < 98 && l != nil:
 		l.core.TransferLeadership(l.core.BestSuccessor())
 		c.handle(l, crash)
-	case kind == 99 && mayLose && c.highest > 1:
+	case kind == 99 && c.mayLose(r.id):
 		c.loseDisk(r)
-		return 1
 	}
-	return 0
 }
 
 // drawCrash draws a place to crash; mostly none.
@@ -129,6 +128,20 @@
 	}
 }
 
+// TestNothingIsSentBeforeTheTermIsSynced holds that a new leader's entries do
+// not leave before its term is durable.
+func TestNothingIsSentBeforeTheTermIsSynced(t *testing.T) {
+	c := New(testOptions(1, 1), Restored{})
+	c.Found(Membership{Voters: []Member{{ID: 1}}, Learners: []Member{{ID: 2}}})
+	for c.Role() != Leader {
+		c.Tick()
+	}
+	r := c.Ready()
+	if r.HardState == nil || len(r.Messages) > 0 || len(r.AfterSync) == 0 {
+		t.Fatalf("a new leader of term %d wants %+v", c.Term(), r)
+	}
+}
+
 // TestPromotionWaitsForSync holds that a learner that has not synced cannot be
 // made a voter.
 func TestPromotionWaitsForSync(t *testing.T) {
--- a/consensus/raft/sim_test.go
+++ b/consensus/raft/sim_test.go
@@ -304,6 +304,34 @@
 	r.core.Compact(meta, keep)
 }
 
+// mayLose reports whether every membership keeps a quorum without a replica.
+func (c *cluster) mayLose(id ReplicaID) bool {
+	for _, r := range c.replicas {
+		m := r.core.Members()
+		left := 0
+		for _, v := range m.Voters {
+			if c.replicas[v.ID] != nil && v.ID != id {
+				left++
+			}
+		}
+		if len(m.Voters) > 0 && left < m.Quorum() {
+			return false
+		}
+	}
+	return c.highest > 1
+}
+
+// allAlive reports whether no voter has lost its disk. Removing one of the
+// others could then end the quorum, which no leader can know in time.
+func (c *cluster) allAlive(m Membership) bool {
+	for _, v := range m.Voters {
+		if c.replicas[v.ID] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // loseDisk ends a replica for good and starts an empty one in its place.
 func (c *cluster) loseDisk(r *replica) {
 	r.up = false
