Replicate the configuration and the ledgers on all control hosts

A control process has a replica of the configuration, of the ledger of all regions, and of the ledger of its own region; a ledger command names its group. A host that lost its disk returns as a learner, votes once it has synced, and then its old identity leaves.

Ports now come from below the range of outgoing connections. The log with one voter is gone.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -128,15 +129,28 @@
 	err  error
 }
 
+// The range of the ports. It lies below the range from which the operating
+// system takes the ports of outgoing connections, so that none of those takes a
+// port before its process listens.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
 // next returns a free address.
 func (p *ports) next() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.err = errors.Wrap(err, "find a free port")
-		return netip.AddrPort{}
+	for range portTries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		p.held = append(p.held, l)
+		return l.Addr().(*net.TCPAddr).AddrPort()
 	}
-	p.held = append(p.held, l)
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	p.err = errors.Newf("no port from %d to %d is free after %d tries", firstPort, lastPort, portTries)
+	return netip.AddrPort{}
 }
 
 // release frees the ports for the processes.
--- a/consensus/raft/membership.go
+++ b/consensus/raft/membership.go
@@ -140,15 +140,15 @@
 }
 
 // NextChange returns the membership change that is due: a learner that has
-// caught up votes, and a voter leaves once a newer one of the same host votes.
+// caught up votes, and a voter leaves once its successor votes.
 func (c *Core) NextChange() (Membership, bool) {
 	m := c.members()
 	if c.role != Leader || !c.MembersCommitted() {
 		return m, false
 	}
 	for i, v := range m.Voters {
-		sameHost := func(other Member) bool { return other.Name == v.Name }
-		if slices.ContainsFunc(m.Voters[i+1:], sameHost) {
+		succeeds := func(later Member) bool { return later.Name == v.Name || later.Replaces == v.Name }
+		if slices.ContainsFunc(m.Voters[i+1:], succeeds) {
 			return m.Remove(v.ID), true
 		}
 	}
@@ -172,3 +172,14 @@
 	p := c.progress[id]
 	return p != nil && p.idleTicks < c.opts.ElectionTicks
 }
+
+// Answering returns the members that the leader hears from, itself included.
+func (c *Core) Answering() []ReplicaID {
+	var ids []ReplicaID
+	for _, m := range c.members().All() {
+		if m.ID == c.id || c.answers(m.ID) {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
--- a/consensus/raft/message.go
+++ b/consensus/raft/message.go
@@ -11,6 +11,9 @@
 	Name string `json:"name"`
 	// Address is the host's peer address.
 	Address string `json:"address,omitempty"`
+	// Replaces is the name of another host whose voter leaves once this replica
+	// votes; empty for none.
+	Replaces string `json:"replaces,omitempty"`
 }
 
 // EntryType says what an entry carries.
--- a/consensus/replicator.go
+++ b/consensus/replicator.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "context"
+import (
+	"context"
+
+	"tanagerbarrow/consensus/raft"
+)
 
 // StateMachine applies committed commands in order. Apply must be
 // deterministic.
@@ -30,10 +34,18 @@
 
 // Status describes one replica.
 type Status struct {
+	// Group is the name of the replicated group.
+	Group string `json:"group"`
 	// ID is the replica's name.
 	ID string `json:"id"`
+	// Identity is the identity of the replica's disk.
+	Identity raft.ReplicaID `json:"identity"`
+	// Role is what the replica does.
+	Role string `json:"role"`
 	// Leader is the name of the known leader, or empty.
 	Leader string `json:"leader"`
+	// LeaderIdentity is the identity of the known leader, or zero.
+	LeaderIdentity raft.ReplicaID `json:"leader_identity,omitempty"`
 	// Term is the current term.
 	Term uint64 `json:"term"`
 	// CommitIndex is the last committed log index.
@@ -42,4 +54,9 @@
 	AppliedIndex uint64 `json:"applied_index"`
 	// Voters are the names of the voting replicas.
 	Voters []string `json:"voters"`
+	// Members are the voters and learners with their identities.
+	Members raft.Membership `json:"members"`
+	// Answering are the members that the leader hears from; other replicas
+	// leave it empty.
+	Answering []raft.ReplicaID `json:"answering,omitempty"`
 }
--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,7 @@
 	log       zerolog.Logger
 	machine   *state.Machine
 	config    consensus.Replicator
-	ledger    consensus.Replicator
+	replicas  *replicas
 	peers     *peer.Server
 	operators *platform.Server
 	peerLinks net.Listener
@@ -43,15 +43,14 @@
 	places := state.Places{Regions: s.Regions}
 	c := &Control{settings: s, log: log, machine: state.NewMachine(places), hosts: map[string]uint64{}}
 	var err error
-	if c.config, err = consensus.OpenSingle(s.Control.DataFolder, "configuration", s.Host.Name, c.machine); err != nil {
-		return nil, err
-	}
-	if c.ledger, err = consensus.OpenSingle(s.Control.DataFolder, "ledger", s.Host.Name, ledger.NewMachine()); err != nil {
+	if c.replicas, err = openReplicas(s, c.machine, log); err != nil {
 		return nil, err
 	}
+	c.config = c.replicas.nodes[GroupConfiguration]
 	c.peers = peer.NewServer(s.Access.PeerKey, log)
 	c.peers.Handle(peer.MethodWatch, peer.Typed(c.watch))
 	c.peers.Handle(peer.MethodLedger, peer.Typed(c.apply))
+	c.peers.ServeReplicas(c.replicas.find)
 	api := &operator.API{
 		Key: s.Access.OperatorKey, Places: places, Machine: c.machine,
 		Replicator: c.config, Hosts: c.versions, Log: log,
@@ -73,14 +72,16 @@
 	g.Go(c.operators.Serve)
 	g.Go(func() error { return c.peers.Serve(work, c.peerLinks) })
 	c.log.Info().Stringer("operators", c.settings.Control.OperatorListen).Msg("control started")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-c.replicas.failed:
+	}
 	err := c.operators.Shutdown(c.settings.Limits.DrainTimeout)
+	err = errors.CombineErrors(err, c.replicas.close())
 	err = errors.CombineErrors(err, c.peerLinks.Close())
 	stop()
 	c.peers.Close()
 	err = errors.CombineErrors(err, g.Wait())
-	err = errors.CombineErrors(err, c.config.Close())
-	err = errors.CombineErrors(err, c.ledger.Close())
 	c.log.Info().Err(err).Msg("control stopped")
 	return err
 }
@@ -133,7 +134,11 @@
 	if err != nil {
 		return ledger.Result{}, errors.Wrap(err, "encode ledger command")
 	}
-	result, err := c.ledger.Propose(ctx, data)
+	group, err := c.replicas.ledger(p.Group)
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	result, err := group.Propose(ctx, data)
 	if err != nil {
 		return ledger.Result{}, err
 	}
--- /dev/null
+++ b/control/replication.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"net/http"
+	"path/filepath"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"tanagerbarrow/consensus"
+	"tanagerbarrow/consensus/raft"
+	"tanagerbarrow/consensus/wal"
+	"tanagerbarrow/ledger"
+	"tanagerbarrow/peer"
+	"tanagerbarrow/settings"
+	"tanagerbarrow/verdict"
+)
+
+// The names of the replicated groups.
+const (
+	// GroupConfiguration holds the configuration.
+	GroupConfiguration = "configuration"
+	// GroupLedger holds the claims that may be stored in every region.
+	GroupLedger = "ledger"
+)
+
+// RegionLedger returns the name of the ledger whose replicas all stand in one
+// region.
+func RegionLedger(region string) string { return GroupLedger + "-" + region }
+
+// replicas are the process's replicas, one for each group that it takes part
+// in.
+type replicas struct {
+	transport *peer.Replication
+	nodes     map[string]*consensus.Node
+	order     []string
+	failed    chan struct{}
+	once      sync.Once
+}
+
+// openReplicas opens the replicas of this host: the configuration, the ledger
+// of all regions, and the ledger of its own region.
+func openReplicas(s *settings.Settings, machine consensus.StateMachine, log zerolog.Logger) (*replicas, error) {
+	r := &replicas{
+		transport: peer.NewReplication(s.Host.Name, s.Access.PeerKey, log),
+		nodes:     map[string]*consensus.Node{}, failed: make(chan struct{}),
+	}
+	everywhere := members(s, "")
+	groups := []consensus.Options{
+		{Group: GroupConfiguration, Hosts: everywhere, Machine: machine},
+		{Group: GroupLedger, Hosts: everywhere, Machine: ledger.NewMachine()},
+		{Group: RegionLedger(s.Region()), Hosts: members(s, s.Region()), Machine: ledger.NewMachine()},
+	}
+	for _, o := range groups {
+		o.Name, o.FS, o.Transport, o.Log = s.Host.Name, wal.OS{}, r.transport, log
+		o.Folder = filepath.Join(s.Control.DataFolder, o.Group)
+		node, err := consensus.Open(o)
+		if err != nil {
+			return nil, errors.CombineErrors(err, r.close())
+		}
+		r.nodes[o.Group] = node
+		r.order = append(r.order, o.Group)
+		go r.watch(node)
+	}
+	return r, nil
+}
+
+// members returns the control hosts of a region, or all.
+func members(s *settings.Settings, region string) []raft.Member {
+	var all []raft.Member
+	for _, h := range s.ControlHosts {
+		if region == "" || s.Regions[h.AvailabilityZone] == region {
+			all = append(all, raft.Member{Name: h.Name, Address: h.Peer.String()})
+		}
+	}
+	return all
+}
+
+// watch notes that a replica stopped by itself.
+func (r *replicas) watch(n *consensus.Node) {
+	<-n.Done()
+	if n.Err() != nil {
+		r.once.Do(func() { close(r.failed) })
+	}
+}
+
+// find returns the replica of a group for the peer server.
+func (r *replicas) find(group string) peer.Replica {
+	if n := r.nodes[group]; n != nil {
+		return n
+	}
+	return nil
+}
+
+// ledger returns the replica of a ledger; empty is the one of all regions.
+func (r *replicas) ledger(group string) (consensus.Replicator, error) {
+	if group == "" {
+		group = GroupLedger
+	}
+	if n := r.nodes[group]; n != nil && group != GroupConfiguration {
+		return n, nil
+	}
+	return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "group_not_served",
+		"this host has no replica of group %q", group)
+}
+
+// close stops all replicas.
+func (r *replicas) close() error {
+	var failures error
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, n := range r.nodes {
+		wg.Go(func() {
+			err := n.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			failures = errors.CombineErrors(failures, err)
+		})
+	}
+	wg.Wait()
+	r.transport.Close()
+	return failures
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"tanagerbarrow/consensus"
 	"tanagerbarrow/settings"
 )
 
@@ -38,7 +39,7 @@
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
-		return err
+		return errors.Mark(err, consensus.ErrNotConnected)
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
 		c.dropBroken(conn, err)
--- a/peer/message.go
+++ b/peer/message.go
@@ -48,6 +48,8 @@
 
 // LedgerCommand is a ledger command on its way to the voters.
 type LedgerCommand struct {
+	// Group is the ledger's replicated group; empty for the one of all regions.
+	Group string `json:"group,omitempty"`
 	// Command is what to do.
 	Command ledger.Command `json:"command"`
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -28,6 +28,8 @@
 	key      string
 	log      zerolog.Logger
 	handlers map[string]Handler
+	// ordered are the methods that are handled in the order of arrival.
+	ordered map[string]bool
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]bool
@@ -35,7 +37,7 @@
 
 // NewServer returns a server that lets in callers with the key.
 func NewServer(key string, log zerolog.Logger) *Server {
-	return &Server{key: key, log: log, handlers: map[string]Handler{}, conns: map[*jsonrpc2.Conn]bool{}}
+	return &Server{key: key, log: log, handlers: map[string]Handler{}, ordered: map[string]bool{}, conns: map[*jsonrpc2.Conn]bool{}}
 }
 
 // Handle registers the handler of a method. It must be called before Serve.
@@ -70,7 +72,7 @@
 func (s *Server) attach(ctx context.Context, conn net.Conn) {
 	session := &session{server: s, remote: conn.RemoteAddr().String()}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle).SuppressErrClosed())
+	handler := newOrderedHandler(s, jsonrpc2.HandlerWithError(session.handle).SuppressErrClosed())
 	rpc := jsonrpc2.NewConn(ctx, stream, handler)
 	s.mu.Lock()
 	s.conns[rpc] = true
