--- a/consensus/node.go
+++ b/consensus/node.go
@@ -34,7 +34,7 @@
 	maxAppendBytes   = 1 << 20
 	maxInFlight      = 8192
 	// maxCommandBytes bounds one command, in bytes.
-	maxCommandBytes = 16 << 20
+	maxCommandBytes = 8 << 20
 )
 
 // identityBits is the size of a random identity; it fits a JSON number.
--- a/control/replication.go
+++ b/control/replication.go
@@ -14,20 +14,12 @@
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/peer"
 	"tanagerbarrow/settings"
+	"tanagerbarrow/telemetry"
 	"tanagerbarrow/verdict"
 )
 
-// The names of the replicated groups.
-const (
-	// GroupConfiguration holds the configuration.
-	GroupConfiguration = "configuration"
-	// GroupLedger holds the claims that may be stored in every region.
-	GroupLedger = "ledger"
-)
-
-// RegionLedger returns the name of the ledger whose replicas all stand in one
-// region.
-func RegionLedger(region string) string { return GroupLedger + "-" + region }
+// GroupConfiguration is the replicated group that holds the configuration.
+const GroupConfiguration = "configuration"
 
 // replicas are the process's replicas, one for each group that it takes part
 // in.
@@ -41,16 +33,16 @@
 
 // openReplicas opens the replicas of this host: the configuration, the ledger
 // of all regions, and the ledger of its own region.
-func openReplicas(s *settings.Settings, machine consensus.StateMachine, log zerolog.Logger) (*replicas, error) {
+func openReplicas(s *settings.Settings, machine consensus.StateMachine, m *telemetry.Metrics, log zerolog.Logger) (*replicas, error) {
 	r := &replicas{
-		transport: peer.NewReplication(s.Host.Name, s.Access.PeerKey, log),
+		transport: peer.NewReplication(s.Host.Name, s.Access, m.Set, log),
 		nodes:     map[string]*consensus.Node{}, failed: make(chan struct{}),
 	}
 	everywhere := members(s, "")
 	groups := []consensus.Options{
 		{Group: GroupConfiguration, Hosts: everywhere, Machine: machine},
-		{Group: GroupLedger, Hosts: everywhere, Machine: ledger.NewMachine()},
-		{Group: RegionLedger(s.Region()), Hosts: members(s, s.Region()), Machine: ledger.NewMachine()},
+		{Group: ledger.CommonGroup, Hosts: everywhere, Machine: ledger.NewMachine()},
+		{Group: ledger.GroupOf(s.Region()), Hosts: members(s, s.Region()), Machine: ledger.NewMachine()},
 	}
 	for _, o := range groups {
 		o.Name, o.FS, o.Transport, o.Log = s.Host.Name, wal.OS{}, r.transport, log
@@ -96,7 +88,7 @@
 // ledger returns the replica of a ledger; empty is the one of all regions.
 func (r *replicas) ledger(group string) (consensus.Replicator, error) {
 	if group == "" {
-		group = GroupLedger
+		group = ledger.CommonGroup
 	}
 	if n := r.nodes[group]; n != nil && group != GroupConfiguration {
 		return n, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/backend"
 	"tanagerbarrow/caller"
 	"tanagerbarrow/dispatch"
@@ -27,40 +27,56 @@
 	reasonNoConfiguration = "no configuration"
 	reasonStopping        = "stopping"
 	reasonZoneOut         = "availability zone out"
+	reasonCutOff          = "cut off"
 )
 
-// expiryPeriod is the time between searches for ended leases.
-const expiryPeriod = 200 * time.Millisecond
-
 // Entry is one entry process.
 type Entry struct {
 	settings  *settings.Settings
 	log       zerolog.Logger
 	metrics   *telemetry.Metrics
 	ready     *platform.Readiness
-	table     *membership.Table
+	links     links
+	members   *membership.Node
 	follower  *follower
-	spreader  *spreader
+	balancer  *dispatch.Balancer
+	sharer    *loadSharer
 	peers     *peer.Server
 	callers   *platform.Server
 	admin     *platform.Server
 	peerLinks net.Listener
+
+	dispatcher *dispatch.Dispatcher
 }
 
 // New opens the listeners of an entry. Run serves on them.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
+	secure, err := access.LoadTLS(s.Access.TLS)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		settings: s, log: log,
 		metrics: telemetry.NewMetrics(),
 		ready:   platform.NewReadiness(reasonNoConfiguration),
-		table:   membership.NewTable(s.Limits.LeaseDuration),
+		links:   newLinks(s),
 	}
+	e.members = newNode(s, e.links)
 	controls := clients(s, s.ControlHosts)
-	e.follower = newFollower(s, controls, log)
-	e.follower.applied = e.configurationApplied
-	e.spreader = newSpreader(clients(s, s.EntryHosts), log)
+	e.follower = newFollower(s, controls, clients(s, s.EntryHosts), log)
+	e.follower.applied, e.follower.cutOff, e.follower.members = e.configurationApplied, e.cutOff, e.members.Table().View
+	if err := e.follower.openStore(s.Entry.DataFolder); err != nil {
+		return nil, err
+	}
+	e.follower.measure(e.metrics.Set)
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
-	e.peers.Handle(peer.MethodMembers, peer.Typed(e.members))
+	e.peers.UseTLS(secure.PeerServer())
+	e.peers.CountIn(e.metrics.Set)
+	handleMembership(e.peers, e.members)
+	e.balancer = e.newBalancer()
+	e.sharer = newLoadSharer(s, e.balancer, e.metrics)
+	e.peers.Handle(peer.MethodLoad, peer.Typed(e.sharer.accept))
+	e.peers.Handle(peer.MethodWatch, peer.Typed(e.follower.relay))
 	return e, e.listen(controls)
 }
 
@@ -79,16 +95,15 @@
 
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
+	e.dispatcher = &dispatch.Dispatcher{
+		Exchanger: backend.NewExchanger(),
+		Claims:    newClaims(e.settings.Regions, controls),
+		Retries:   limit.NewRetryBudget(),
+		Balancer:  e.picker(),
+	}
 	front := &caller.Front{
-		Configuration: e.follower.current,
-		Dispatcher: &dispatch.Dispatcher{
-			Members:       e.table.View,
-			Configuration: e.follower.current,
-			Regions:       e.settings.Regions,
-			Exchanger:     backend.NewExchanger(),
-			Claims:        &claims{controls: controls},
-			Retries:       limit.NewRetryBudget(),
-		},
+		Configuration:  e.follower.serving,
+		Dispatcher:     e.dispatcher,
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
 		RequestTimeout: e.settings.Limits.RequestTimeout,
@@ -106,7 +121,7 @@
 	routes := platform.NewEcho()
 	intake := &backend.Intake{
 		Key: e.settings.Access.AnnounceKey, Regions: e.settings.Regions,
-		Table: e.table, Accepted: e.spreader.push,
+		Announce: e.members.Announce,
 	}
 	intake.Register(routes)
 	e.ready.Register(routes)
@@ -126,8 +141,8 @@
 	g.Go(e.admin.Serve)
 	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
 	g.Go(func() error { return e.follower.run(work) })
-	g.Go(func() error { return e.spreader.run(work) })
-	g.Go(func() error { return e.expire(work) })
+	g.Go(func() error { return e.members.Run(work) })
+	g.Go(func() error { return e.sharer.run(work) })
 	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
 	<-ctx.Done()
 	err := e.shutdown()
@@ -139,41 +154,15 @@
 func (e *Entry) shutdown() error {
 	e.ready.Set(reasonStopping, true)
 	err := e.callers.Shutdown(e.settings.Limits.DrainTimeout)
+	e.dispatcher.Drain()
 	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.peerLinks.Close())
 	e.peers.Close()
+	e.links.close()
 	e.log.Info().Err(err).Msg("entry stopped")
 	return err
 }
 
-// expire drops ended leases.
-func (e *Entry) expire(ctx context.Context) error {
-	tick := time.NewTicker(expiryPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			e.table.Expire(now)
-		}
-	}
-}
-
-// members takes records of another entry in.
-func (e *Entry) members(_ context.Context, m peer.Members) (peer.Empty, error) {
-	now := time.Now()
-	for _, b := range m.Servers {
-		if err := b.Check(e.settings.Regions); err != nil {
-			return peer.Empty{}, err
-		}
-		if err := e.table.Put(b, now); err != nil && !errors.Is(err, membership.ErrOldGeneration) {
-			return peer.Empty{}, err
-		}
-	}
-	return peer.Empty{}, nil
-}
-
 // homeEntries returns the peer addresses' hosts of entries in the regions.
 func (e *Entry) homeEntries(regions []string) []string {
 	var found []string
@@ -193,7 +182,7 @@
 	var all []*peer.Client
 	for _, h := range hosts {
 		if h.Peer != s.Host.Peer {
-			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h))
+			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h).UseTLS(s.Access.TLS))
 		}
 	}
 	return all
--- a/peer/replication.go
+++ b/peer/replication.go
@@ -27,8 +27,11 @@
 const (
 	replicationCapacity = 512
 	maxEnvelopes        = 64
-	connectTimeout      = time.Second
-	writeTimeout        = 2 * time.Second
+	// maxBatchBytes of commands end a batch; what is sent stays well below the
+	// bound of one message.
+	maxBatchBytes  = 4 << 20
+	connectTimeout = time.Second
+	writeTimeout   = 2 * time.Second
 )
 
 // Envelopes carries the messages of several groups to one process.
@@ -37,12 +40,26 @@
 	Envelopes []consensus.Envelope `json:"e"`
 }
 
+// commandBytes returns the size of the carried commands.
+func (e Envelopes) commandBytes() int {
+	size := 0
+	for _, envelope := range e.Envelopes {
+		for _, m := range envelope.Messages {
+			for _, entry := range m.Entries {
+				size += len(entry.Data)
+			}
+		}
+	}
+	return size
+}
+
 // Replication carries the traffic between replicas. It implements
 // [consensus.Transport].
 type Replication struct {
-	host, key string
-	log       zerolog.Logger
-	dropped   *metrics.Counter
+	host    string
+	access  settings.Access
+	log     zerolog.Logger
+	dropped *metrics.Counter
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -59,10 +76,10 @@
 }
 
 // NewReplication returns a transport that presents itself as host.
-func NewReplication(host, key string, log zerolog.Logger) *Replication {
+func NewReplication(host string, a settings.Access, set *metrics.Set, log zerolog.Logger) *Replication {
 	r := &Replication{
-		host: host, key: key, log: log, links: map[string]*link{},
-		dropped: metrics.GetOrCreateCounter("tanagerbarrow_replication_dropped_envelopes_total"),
+		host: host, access: a, log: log, links: map[string]*link{},
+		dropped: set.GetOrCreateCounter("tanagerbarrow_replication_dropped_envelopes_total"),
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	return r
@@ -85,14 +102,19 @@
 	host := settings.Host{Name: to.Name, Peer: address}
 	l := &link{
 		queue:    make(chan consensus.Envelope, replicationCapacity),
-		messages: NewClient(r.host, r.key, host),
-		calls:    NewClient(r.host, r.key, host),
+		messages: r.client(host),
+		calls:    r.client(host),
 	}
 	r.links[to.Address] = l
 	r.done.Go(func() { r.send(l) })
 	return l, nil
 }
 
+// client returns a client of a host.
+func (r *Replication) client(host settings.Host) *Client {
+	return NewClient(r.host, r.access.PeerKey, host).UseTLS(r.access.TLS)
+}
+
 // Send queues messages; a full queue drops them.
 func (r *Replication) Send(to raft.Member, e consensus.Envelope) {
 	l, err := r.link(to)
@@ -127,7 +149,7 @@
 		case e := <-l.queue:
 			batch.Envelopes = append(batch.Envelopes, e)
 		}
-		for len(batch.Envelopes) < maxEnvelopes && len(l.queue) > 0 {
+		for len(batch.Envelopes) < maxEnvelopes && len(l.queue) > 0 && batch.commandBytes() < maxBatchBytes {
 			batch.Envelopes = append(batch.Envelopes, <-l.queue)
 		}
 		if err := l.messages.Notify(r.ctx, MethodReplicate, batch); err != nil && r.ctx.Err() == nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,8 @@
 	Control Control
 	// Access holds section [access].
 	Access Access
+	// Balance holds section [balance].
+	Balance Balance
 	// Limits holds section [limits].
 	Limits Limits
 }
@@ -42,6 +44,12 @@
 	CallerListen netip.AddrPort
 	// AdminListen serves announcements, readiness and metrics over HTTP.
 	AdminListen netip.AddrPort
+	// DataFolder holds the TLS files and the last configuration; empty if the
+	// host has no disk.
+	DataFolder string
+	// MaxConfigurationAge is how long an entry that is cut off together with
+	// its region serves on; 0, the default, sets no end.
+	MaxConfigurationAge time.Duration
 }
 
 // Control are the settings of a control process.
@@ -60,6 +68,40 @@
 	OperatorKey string
 	// AnnounceKey is presented by backend servers; empty lets all announce.
 	AnnounceKey string
+	// TLS are the files for TLS between processes and for operators.
+	TLS TLSFiles
+}
+
+// TLSFiles are the paths of the TLS files below the data folder; all three are
+// set or none.
+type TLSFiles struct {
+	// Certificate is the certificate chain of the host in PEM form.
+	Certificate string
+	// Key is the private key in PEM form.
+	Key string
+	// CA are the certificates of the authorities in PEM form.
+	CA string
+}
+
+// Set reports whether TLS is wanted.
+func (f TLSFiles) Set() bool { return f.Certificate != "" }
+
+// Policy names how an entry chooses backend servers.
+type Policy string
+
+// The policies.
+const (
+	// PolicyAdaptive chooses by the load that the entries of a region share. It
+	// is the default.
+	PolicyAdaptive Policy = "adaptive"
+	// PolicyRoundRobin chooses in turn and without limits, as a baseline.
+	PolicyRoundRobin Policy = "round-robin"
+)
+
+// Balance says how an entry chooses backend servers.
+type Balance struct {
+	// Policy is the way to choose; adaptive by default.
+	Policy Policy
 }
 
 // Limits bound what one entry process takes in.
