--- a/peer/server.go
+++ b/peer/server.go
@@ -37,8 +37,10 @@
 	key      string
 	log      zerolog.Logger
 	handlers map[string]Handler
-	tls      *tls.Config
-	metrics  *metrics.Set
+	// ordered are the methods that are handled in the order of arrival.
+	ordered map[string]bool
+	tls     *tls.Config
+	metrics *metrics.Set
 
 	mu      sync.Mutex
 	conns   map[*jsonrpc2.Conn]bool
@@ -47,7 +49,7 @@
 
 // NewServer returns a server that lets in callers with the key.
 func NewServer(key string, log zerolog.Logger) *Server {
-	return &Server{key: key, log: log, handlers: map[string]Handler{}, conns: map[*jsonrpc2.Conn]bool{}}
+	return &Server{key: key, log: log, handlers: map[string]Handler{}, ordered: map[string]bool{}, conns: map[*jsonrpc2.Conn]bool{}}
 }
 
 // UseTLS makes the server speak TLS unless config is nil. It must be called
@@ -103,7 +105,7 @@
 	s.unknown++
 	s.mu.Unlock()
 	stream := jsonrpc2.NewBufferedStream(conn, codec{limit: session.limit})
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle).SuppressErrClosed())
+	handler := newOrderedHandler(s, jsonrpc2.HandlerWithError(session.handle).SuppressErrClosed())
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(silent{}))
 	s.mu.Lock()
 	s.conns[rpc] = true
