--- a/balance/admission.go
+++ b/balance/admission.go
@@ -50,6 +50,19 @@
 	return best
 }
 
+// spills reports whether this entry is among those of its region that may send
+// to a backend server of another region while their own works.
+func (l *Loads) spills(key Key) bool {
+	own := rendezvous(l.self, key)
+	before := 0
+	for _, name := range l.live() {
+		if rendezvous(name, key) > own {
+			before++
+		}
+	}
+	return before < spillEntries
+}
+
 // rendezvous returns the score of an entry for a backend server.
 func rendezvous(name string, key Key) uint64 {
 	var b [64]byte
@@ -153,7 +166,7 @@
 		if !a.Acquire() {
 			return Started{}, false
 		}
-		s.local.Add(1)
+		s.count(1)
 		l.settle(key, s, a)
 		return Started{Server: s, admission: a}, true
 	}
@@ -164,7 +177,7 @@
 	}
 	loan := held[0]
 	l.setLoans(key, s, held[1:])
-	s.local.Add(1)
+	s.count(1)
 	return Started{Server: s, loan: loan}, true
 }
 
--- a/balance/choices.go
+++ b/balance/choices.go
@@ -15,6 +15,10 @@
 	// of others a choice compares at most.
 	nearLooked = 8
 	farLooked  = 4
+	// spillEntries is how many entries of a region may send to one backend
+	// server of another region, one request each, while their own region works.
+	// Counts are not exchanged between regions.
+	spillEntries = 2
 	// explorePicks is the number of choices of which one disregards the way to
 	// other zones, so that requests keep showing how every backend server of
 	// the region does.
@@ -54,7 +58,7 @@
 
 // service are the backend servers of one service, near ones in this region.
 type service struct {
-	usual     *latency
+	usual     *serviceLoad
 	near, far []candidate
 }
 
@@ -63,6 +67,7 @@
 	server *Server
 	region string
 	hop    int64 // nanoseconds
+	spill  bool  // this entry may use it while its own region still works
 }
 
 // NewChoices returns the choices of an entry at the place. Availability zones
@@ -77,19 +82,30 @@
 			b := l.Server(record, at.Regions[record.AvailabilityZone] != home, now)
 			keep[b.Key()] = true
 			if !c.ZonesOut[record.AvailabilityZone] {
-				s.add(b, at)
+				s.add(b, at, l.spills(b.Key()))
 			}
 		}
+		s.usual.share.Store(s.shareOf(int64(len(l.live()))))
 		all.services[name] = s
 	}
 	l.Keep(keep)
 	return all
 }
 
+// shareOf returns the part of one of the region's entries in the limits of the
+// service's backend servers in the region.
+func (s *service) shareOf(entries int64) int64 {
+	sum := int64(0)
+	for _, c := range s.near {
+		sum += c.server.Limit.Most()
+	}
+	return max(sum/max(entries, 1), 1)
+}
+
 // add adds a backend server.
-func (s *service) add(b *Server, at Place) {
+func (s *service) add(b *Server, at Place, spill bool) {
 	zone := b.Record.AvailabilityZone
-	c := candidate{server: b, region: at.Regions[zone]}
+	c := candidate{server: b, region: at.Regions[zone], spill: spill}
 	switch {
 	case zone == at.AvailabilityZone:
 		s.near = append(s.near, c)
@@ -108,6 +124,8 @@
 	Now int64
 	// Random is a random number.
 	Random uint64
+	// Waiting is the number of requests that wait at this entry.
+	Waiting int
 	// HomeRegions are the only regions to choose from; empty means any.
 	HomeRegions []string
 	// Tried are addresses to leave out.
@@ -130,12 +148,13 @@
 	if !ok {
 		return nil, false
 	}
-	p := search{query: q, usual: int64(s.usual.mean()), healthy: true}
+	p := search{query: q, usual: int64(s.usual.mean()), healthy: true, fullCost: noCost}
 	p.explore = q.Random>>exploreShift%explorePicks == 0
 	p.known, p.entries = c.loads.known()
 	p.look(s.near, nearLooked, 0)
 	p.explore = false
-	if p.best == nil || p.cost > s.farHop() {
+	p.bound = p.best != nil || p.full
+	if p.nearCost(s.usual.share.Load()) > s.farHop() {
 		p.look(s.far, farLooked, unknownLoad)
 	}
 	if p.best == nil && p.ejected {
@@ -146,10 +165,13 @@
 	return p.best, p.best == nil && p.full
 }
 
+// noCost is more than any cost.
+const noCost = 1 << 62
+
 // farHop returns the cost of the way to other regions.
 func (s *service) farHop() int64 {
 	if len(s.far) == 0 {
-		return 1 << 62
+		return noCost
 	}
 	return s.far[0].hop
 }
@@ -168,9 +190,23 @@
 	known, entries int64
 	healthy        bool
 	explore        bool
+	bound          bool // this region works, so that others get only spills
 	best           *Server
 	cost           int64
 	full, ejected  bool
+	fullCost       int64 // the lowest cost of those at their limits
+}
+
+// nearCost returns the cost of the best choice so far. If it must be waited for,
+// the requests that wait here before it count too.
+func (p *search) nearCost(share int64) int64 {
+	if p.best != nil {
+		return p.cost
+	}
+	if p.fullCost == noCost {
+		return noCost
+	}
+	return p.fullCost + int64(p.query.Waiting)*p.usual/max(share, 1)
 }
 
 // look compares up to most backend servers from a random start.
@@ -207,13 +243,14 @@
 		p.ejected = true
 		return false
 	}
-	if far && s.cold.Load() {
+	if far && (s.cold.Load() || p.bound && (!c.spill || s.Local() > 0)) {
 		return false
 	}
 	if s.hasRoom(p.known, p.entries, 0) {
 		return true
 	}
 	p.full = true
+	p.fullCost = min(p.fullCost, p.costOf(c, 0))
 	if s.cold.Load() && !s.wanted.Load() {
 		s.wanted.Store(true)
 	}
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -25,7 +25,7 @@
 	mu      sync.Mutex
 	servers map[Key]*tracked
 	newest  map[netip.AddrPort]uint64
-	usuals  map[string]*latency
+	usuals  map[string]*serviceLoad
 	peers   map[string]*peerLoad
 	phases  map[Key]*phase
 	scan    uint64
@@ -61,7 +61,7 @@
 	l := &Loads{
 		self: o.Self, live: o.Live, started: now, loanEnd: o.LoanTimeout,
 		servers: map[Key]*tracked{}, newest: map[netip.AddrPort]uint64{},
-		usuals: map[string]*latency{}, peers: map[string]*peerLoad{},
+		usuals: map[string]*serviceLoad{}, peers: map[string]*peerLoad{},
 		phases: map[Key]*phase{}, cold: map[Key]*Server{},
 		owned: map[Key]*limit.Admission{}, loans: map[Key][]heldLoan{},
 		returns: map[string][]Return{},
@@ -78,16 +78,16 @@
 }
 
 // usual returns the moving average of a service's latency.
-func (l *Loads) usual(service string) *latency {
+func (l *Loads) usual(service string) *serviceLoad {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.usualLocked(service)
 }
 
-func (l *Loads) usualLocked(service string) *latency {
+func (l *Loads) usualLocked(service string) *serviceLoad {
 	u, ok := l.usuals[service]
 	if !ok {
-		u = &latency{}
+		u = &serviceLoad{}
 		l.usuals[service] = u
 	}
 	return u
@@ -152,10 +152,10 @@
 	if s.cold.Load() {
 		return l.startCold(s)
 	}
-	s.local.Add(1)
+	s.count(1)
 	share, entries := l.known()
 	if !s.hasRoom(share, entries, 1) {
-		s.local.Add(-1)
+		s.count(-1)
 		return Started{}, false
 	}
 	return Started{Server: s}, true
@@ -164,7 +164,7 @@
 // Finish ends the count of a request and learns from how it went.
 func (l *Loads) Finish(st Started, a Answer, now time.Time) {
 	o, suspect := st.Server.judge(a, now)
-	st.Server.local.Add(-1)
+	st.Server.count(-1)
 	if st.admission == nil && st.loan.ID == 0 && !suspect {
 		return
 	}
--- a/balance/server.go
+++ b/balance/server.go
@@ -14,7 +14,7 @@
 	// slowFactor times the usual latency of the service makes an answer slow.
 	slowFactor = 4
 	// slowStreak slow answers in a row make a backend server suspect.
-	slowStreak = 3
+	slowStreak = 5
 	// errorStreak answers of status 5xx in a row eject a backend server.
 	errorStreak = 3
 	// latencyShift is the weight of a new latency, 1/2^latencyShift.
@@ -39,7 +39,7 @@
 	// Ejection keeps a failing backend server out of the choice.
 	Ejection Ejection
 
-	usual      *latency
+	usual      *serviceLoad
 	local      atomic.Int64
 	remote     atomic.Int64 // in units of 1/fullWeight request
 	cold       atomic.Bool
@@ -50,7 +50,7 @@
 }
 
 // newServer returns a backend server without load.
-func newServer(record membership.BackendServer, usual *latency) *Server {
+func newServer(record membership.BackendServer, usual *serviceLoad) *Server {
 	return &Server{Record: record, Limit: limit.NewConcurrency(record.Slots), usual: usual}
 }
 
@@ -68,6 +68,14 @@
 // Cold reports whether the backend server needs admission.
 func (s *Server) Cold() bool { return s.cold.Load() }
 
+// beyondShare reports whether this entry has used its part of the region's
+// limits. It then takes free slots but no place in the queue of a backend
+// server, so that entries which answers reach first do not keep out the others.
+func (l *serviceLoad) beyondShare(counted int64) bool {
+	share := l.share.Load()
+	return share > 0 && l.local.Load()-counted >= share
+}
+
 // hasRoom reports whether this entry may start a request, of which counted are
 // counted already. known is the share, in thousandths, of the entries whose
 // counts are known, and entries their number.
@@ -76,12 +84,22 @@
 		return s.room.Load() > 0
 	}
 	most := s.Limit.Limit()
-	if s.Total()-counted < most*known/1000 {
+	total := s.Total() - counted
+	if total >= int64(s.Record.Slots) && s.usual.beyondShare(counted) {
+		return false
+	}
+	if total < most*known/1000 {
 		return true
 	}
 	return known < 1000 && s.local.Load()-counted < max(most/entries, 1)
 }
 
+// count changes this entry's requests in progress.
+func (s *Server) count(delta int64) {
+	s.local.Add(delta)
+	s.usual.local.Add(delta)
+}
+
 // judge returns the outcome of an answer and moves the health of the backend
 // server. suspect is true if it may have turned cold.
 func (s *Server) judge(a Answer, now time.Time) (o limit.Outcome, suspect bool) {
@@ -106,6 +124,7 @@
 	s.Ejection.Succeeded()
 	s.Limit.Answered(s.Total())
 	if usual := s.usual.mean(); usual > 0 && a.Took > slowFactor*usual {
+		s.usual.add(slowFactor * usual)
 		return limit.Slow, s.slowInRow.Add(1) >= slowStreak
 	}
 	s.slowInRow.Store(0)
@@ -140,14 +159,18 @@
 	Took time.Duration
 }
 
-// latency is a moving average of the latencies of a service.
-type latency struct{ nanos atomic.Int64 }
+// serviceLoad is what one entry knows of a service as a whole.
+type serviceLoad struct {
+	nanos atomic.Int64 // moving average of the latency
+	local atomic.Int64 // this entry's requests in progress
+	share atomic.Int64 // this entry's part of the region's limits, 0 if unknown
+}
 
 // mean returns the average, or 0 before the first sample.
-func (l *latency) mean() time.Duration { return time.Duration(l.nanos.Load()) }
+func (l *serviceLoad) mean() time.Duration { return time.Duration(l.nanos.Load()) }
 
 // add takes a sample in. A sample that races with another may be lost.
-func (l *latency) add(sample time.Duration) {
+func (l *serviceLoad) add(sample time.Duration) {
 	old := l.nanos.Load()
 	if old == 0 {
 		l.nanos.CompareAndSwap(0, int64(sample))
--- /dev/null
+++ b/bench/cmd/policy/plot.go
@@ -0,0 +1,4 @@
+package main
+
+// plot draws the plots.
+func (s *study) plot(string) error { return nil }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -75,11 +75,11 @@
 
 // start chooses a backend server and counts the request on it. full is true if
 // there are backend servers, all of them at their limits.
-func (b *Balancer) start(r *request.Request, tried []netip.AddrPort) (started balance.Started, ok, full bool) {
+func (b *Balancer) start(r *request.Request, tried []netip.AddrPort, waiting int) (started balance.Started, ok, full bool) {
 	all := b.choices()
 	for range startTries {
 		s, full := all.Pick(r.Service.Name, balance.Query{
-			Now: time.Now().UnixNano(), Random: rand.Uint64(),
+			Now: time.Now().UnixNano(), Random: rand.Uint64(), Waiting: waiting,
 			HomeRegions: r.HomeRegions, Tried: tried,
 		})
 		if s == nil {
@@ -97,7 +97,7 @@
 // returns errNoServer.
 func (b *Balancer) Reserve(ctx context.Context, r *request.Request, tried []netip.AddrPort) (balance.Started, error) {
 	if b.waitersOf(r.Service.Name) == 0 {
-		started, ok, full := b.start(r, tried)
+		started, ok, full := b.start(r, tried, 0)
 		if ok {
 			return started, nil
 		}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -143,7 +143,7 @@
 			return
 		}
 		t := next.Value
-		started, ok, full := b.start(t.request, t.tried)
+		started, ok, full := b.start(t.request, t.tried, q.Len())
 		if !ok && full {
 			return
 		}
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// overloadWait is the wait from which a queue serves its newest request first:
-// the oldest ones are then the likeliest to miss their deadlines.
+// overloadWait is the wait from which an account that fills its share of the
+// queue is served its newest request first: its oldest ones are then the
+// likeliest to miss their deadlines.
 const overloadWait = 50 * time.Millisecond
 
 // Waiter is a request that waits for a backend server.
@@ -22,8 +23,8 @@
 }
 
 // Queue holds waiting requests. It is bounded, serves client accounts in turn,
-// drops requests past their deadline, and under overload serves the newest
-// first. It is not safe for concurrent use.
+// drops requests past their deadline, and under overload serves the newest first
+// of accounts that fill their share. It is not safe for concurrent use.
 type Queue[T any] struct {
 	capacity int
 	size     int
@@ -71,7 +72,8 @@
 	for q.size > 0 {
 		waiters := q.turns[0].waiters
 		w := waiters[0]
-		if now.Sub(w.Since) > overloadWait {
+		beyondShare := len(waiters)*len(q.turns) >= q.size
+		if beyondShare && now.Sub(w.Since) > overloadWait {
 			w = waiters[len(waiters)-1]
 		}
 		if now.Before(w.Deadline) {
