Bound and meter what entries spend on measuring

Reports count against a budget of bytes that the entries of a region share in equal parts; a report beyond it is not sent and its counts go with a later one. The metrics tanagerbarrow_measuring_bytes_total and _budget show use by link. No probe is sent and no report leaves its region, so slot time and bytes between regions are zero by construction.

--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -33,6 +33,9 @@
 	err     error
 }
 
+// Waiting returns the number of requests that wait for any service.
+func (b *Balancer) Waiting() int64 { return b.waiting.Load() }
+
 // waitersOf returns the number of requests that wait for the service.
 func (b *Balancer) waitersOf(service string) int {
 	if b.waiting.Load() == 0 {
--- a/entry/loadshare.go
+++ b/entry/loadshare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -9,6 +10,7 @@
 
 	"tanagerbarrow/balance"
 	"tanagerbarrow/dispatch"
+	"tanagerbarrow/limit"
 	"tanagerbarrow/peer"
 	"tanagerbarrow/settings"
 	"tanagerbarrow/telemetry"
@@ -18,6 +20,11 @@
 const (
 	loadTimeout = 250 * time.Millisecond
 	loadPause   = 100 * time.Millisecond
+	// measuringBytes bounds what the entries of one region together spend on
+	// measuring, in bytes per second: 240 Mbit/s, none of it between regions.
+	measuringBytes = 30_000_000
+	// replyBytes is what a report's answer is taken to need.
+	replyBytes = 64
 )
 
 // loadSharer exchanges requests in progress with the other entries of the
@@ -30,6 +37,12 @@
 	sent     *metrics.Counter
 	lost     *metrics.Counter
 	counts   *metrics.Counter
+	denied   *metrics.Counter
+
+	zone         string
+	budget       *limit.Budget
+	inZone       *metrics.Counter
+	betweenZones *metrics.Counter
 }
 
 // loadLink is the way to one other entry.
@@ -44,8 +57,15 @@
 		loads: b.Loads, balancer: b,
 		sent:   m.Set.NewCounter(`tanagerbarrow_load_reports_total{result="answered"}`),
 		lost:   m.Set.NewCounter(`tanagerbarrow_load_reports_total{result="lost"}`),
+		denied: m.Set.NewCounter(`tanagerbarrow_load_reports_total{result="over_budget"}`),
 		counts: m.Set.NewCounter(`tanagerbarrow_load_counts_total`),
 	}
+	l.zone = s.Host.AvailabilityZone
+	l.budget = limit.NewBudget(measuringBytes, len(regionEntries(s)), time.Now())
+	l.inZone = m.Set.NewCounter(`tanagerbarrow_measuring_bytes_total{link="zone"}`)
+	l.betweenZones = m.Set.NewCounter(`tanagerbarrow_measuring_bytes_total{link="zones"}`)
+	m.Set.NewGauge(`tanagerbarrow_measuring_bytes_budget`, l.budget.PerSecond)
+	m.Set.NewGauge(`tanagerbarrow_waiting_requests`, func() float64 { return float64(b.Waiting()) })
 	for _, c := range clients(s, regionEntries(s)) {
 		l.links = append(l.links, loadLink{client: c, due: make(chan struct{}, 1)})
 	}
@@ -149,7 +169,8 @@
 	}
 }
 
-// tell sends one report if there is something to tell.
+// tell sends one report if there is something to tell. One that the budget does
+// not allow is not sent; a later one tells the same counts.
 func (l *loadSharer) tell(ctx context.Context, to *peer.Client) bool {
 	name := to.Peer().Name
 	report, ok := l.loads.Report(name, time.Now())
@@ -158,18 +179,40 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	var answer json.RawMessage
 	var reply peer.LoadReply
-	if err := to.Call(ctx, peer.MethodLoad, peer.LoadReport{Report: report}, &reply); err != nil {
+	body, err := json.Marshal(peer.LoadReport{Report: report})
+	if err == nil && !l.budget.Spend(len(body)+replyBytes, time.Now()) {
+		l.denied.Inc()
+		return true
+	}
+	if err == nil {
+		err = to.Call(ctx, peer.MethodLoad, json.RawMessage(body), &answer)
+	}
+	if err == nil {
+		err = json.Unmarshal(answer, &reply)
+	}
+	if err != nil {
 		l.lost.Inc()
 		l.loads.Lost(name)
 		return false
 	}
 	l.sent.Inc()
 	l.counts.Add(len(report.Counts))
+	l.bytes(to).Add(len(body) + len(answer))
 	l.loads.Acknowledge(name, report, reply.Reply, time.Now())
 	return true
 }
 
+// bytes returns the counter of the class of link to a peer. There are no links
+// between regions among them.
+func (l *loadSharer) bytes(to *peer.Client) *metrics.Counter {
+	if to.Peer().AvailabilityZone == l.zone {
+		return l.inZone
+	}
+	return l.betweenZones
+}
+
 // accept takes a report of another entry in.
 func (l *loadSharer) accept(_ context.Context, r peer.LoadReport) (peer.LoadReply, error) {
 	return peer.LoadReply{Reply: l.loads.Accept(r.Report, time.Now())}, nil
