Show what each control host holds, and refuse bad names

The status names each control host's version and its last touch with the quorum, so that a host that is cut off in silence shows. A confirmation without an operator and ids with slashes are refused.

--- a/cmd/tanagerctl/views.go
+++ b/cmd/tanagerctl/views.go
@@ -47,14 +47,24 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "REPLICA\tLEADER\tTERM\tCOMMIT\tVERSION\n%s\t%s\t%d\t%d\t%d\n\n",
 		s.Replica.ID, s.Replica.Leader, s.Replica.Term, s.Replica.CommitIndex, s.Version)
-	fmt.Fprintf(w, "ENTRY\tZONE\tVERSION\tLAST HEARD\tBY\n")
+	fmt.Fprintf(w, "CONTROL\tVERSION\tIN TOUCH WITH THE QUORUM\n")
+	for _, h := range s.Controls {
+		fmt.Fprintln(w, controlLine(h))
+	}
+	fmt.Fprintf(w, "\nENTRY\tZONE\tVERSION\tLAST HEARD\tBY\n")
 	for _, h := range s.Entries {
 		fmt.Fprintln(w, hostLine(h, s.Version))
 	}
 	exitOn(w.Flush())
-	if len(s.SilentControls) > 0 {
-		fmt.Printf("\nno answer from control hosts: %s\n", strings.Join(s.SilentControls, ", "))
+}
+
+// controlLine returns the table line of one control host.
+func controlLine(c operator.ControlStatus) string {
+	if !c.Answered {
+		return c.Host + "\t-\tno answer"
 	}
+	ago := time.Duration(c.ProofMillisecondsAgo) * time.Millisecond
+	return fmt.Sprintf("%s\t%d\t%s ago", c.Host, c.Version, ago)
 }
 
 // hostLine returns the table line of one entry host.
--- a/control/distribution.go
+++ b/control/distribution.go
@@ -151,7 +151,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	var answer peer.Hosts
+	answer := peer.Hosts{Version: d.feed.Version(), ProofMillisecondsAgo: now.Sub(d.quorumAt).Milliseconds()}
 	var reports []state.CapacityReport
 	for name, h := range d.heard {
 		age := now.Sub(h.at)
@@ -210,9 +210,9 @@
 	}
 	var all operator.Hosts
 	for _, a := range d.gather(ctx) {
-		if a.failed {
-			all.SilentControls = append(all.SilentControls, a.by)
-		}
+		all.Controls = append(all.Controls, operator.ControlStatus{
+			Host: a.by, Answered: !a.failed, Version: a.hosts.Version, ProofMillisecondsAgo: a.hosts.ProofMillisecondsAgo,
+		})
 		for _, h := range a.hosts.Heard {
 			known := byName[h.Host]
 			if known.Heard && known.HeardMillisecondsAgo <= h.MillisecondsAgo {
@@ -227,6 +227,7 @@
 	for _, h := range byName {
 		all.Entries = append(all.Entries, h)
 	}
+	slices.SortFunc(all.Controls, func(a, b operator.ControlStatus) int { return strings.Compare(a.Host, b.Host) })
 	slices.SortFunc(all.Entries, func(a, b operator.HostStatus) int { return strings.Compare(a.Host, b.Host) })
 	return all
 }
--- a/operator/access_test.go
+++ b/operator/access_test.go
@@ -55,6 +55,18 @@
 	}
 }
 
+func TestRequestsWithBadNamesAreRefused(t *testing.T) {
+	long := strings.Repeat("x", maxNameBytes+1)
+	for body, path := range map[string]string{
+		`{"id":"a/b"}`: "/v1/plans", `{"id":"` + long + `"}`: "/v1/plans", `{"id":1}`: "/v1/plans",
+		`{}`: "/v1/plans/p/confirm", `{"operator":"` + long + `"}`: "/v1/plans/p/confirm", `{`: "/v1/plans/p/confirm",
+	} {
+		if out := newGroup().do(t, http.MethodPost, path, "Bearer "+testKey, strings.NewReader(body)); out.Code != http.StatusBadRequest {
+			t.Errorf("%s with %.20s answered %d", path, body, out.Code)
+		}
+	}
+}
+
 func TestSamePlanConfirmedByTwoOperators(t *testing.T) {
 	w := &wire{group: newGroup()}
 	c := w.client(testKey)
--- a/operator/api.go
+++ b/operator/api.go
@@ -23,6 +23,7 @@
 	commandTimeout  = 5 * time.Second
 	maxRequestBytes = "64K"
 	defaultHistory  = 50
+	maxNameBytes    = 256
 )
 
 // API serves operators.
@@ -85,7 +86,7 @@
 	known := a.Hosts(c.Request().Context())
 	s := Status{
 		Replica: a.Replicator.Status(), Version: a.Machine.Configuration().Version,
-		Hosts: map[string]uint64{}, Entries: known.Entries, SilentControls: known.SilentControls,
+		Hosts: map[string]uint64{}, Entries: known.Entries, Controls: known.Controls,
 	}
 	for _, h := range known.Entries {
 		if h.Heard {
@@ -135,6 +136,9 @@
 	if r.ID == "" {
 		r.ID = uuid.NewString()
 	}
+	if strings.ContainsRune(r.ID, '/') || len(r.ID) > maxNameBytes {
+		return c.JSON(http.StatusBadRequest, Failure{Message: "the plan's id contains a slash or has more than 256 bytes"})
+	}
 	if err := a.barrier(c); err != nil {
 		return unavailable(c, err)
 	}
@@ -151,6 +155,9 @@
 	if err := c.Bind(&confirmation); err != nil {
 		return c.JSON(http.StatusBadRequest, Failure{Message: "decode confirmation: " + err.Error()})
 	}
+	if confirmation.Operator == "" || len(confirmation.Operator) > maxNameBytes {
+		return c.JSON(http.StatusBadRequest, Failure{Message: "the confirmation names no operator, or one of more than 256 bytes"})
+	}
 	plan := c.Param("id")
 	if confirmation.ID == "" {
 		confirmation.ID = plan + "/" + confirmation.Operator
--- a/operator/message.go
+++ b/operator/message.go
@@ -35,8 +35,21 @@
 	Hosts map[string]uint64 `json:"hosts"`
 	// Entries describes each entry host that the settings list.
 	Entries []HostStatus `json:"entries"`
-	// SilentControls are the control hosts that did not tell what they heard.
-	SilentControls []string `json:"silent_controls,omitempty"`
+	// Controls describes each control host that the settings list.
+	Controls []ControlStatus `json:"controls"`
+}
+
+// ControlStatus is what one control host tells of itself.
+type ControlStatus struct {
+	// Host is the control host.
+	Host string `json:"host"`
+	// Answered is false if it did not answer; the other fields then say nothing.
+	Answered bool `json:"answered"`
+	// Version is the newest version that it holds.
+	Version uint64 `json:"version"`
+	// ProofMillisecondsAgo is the time since it last reached the quorum, in
+	// milliseconds.
+	ProofMillisecondsAgo int64 `json:"proof_milliseconds_ago"`
 }
 
 // HostStatus is what all control hosts together know of one entry host.
@@ -60,8 +73,8 @@
 type Hosts struct {
 	// Entries describes each entry host that the settings list, by name.
 	Entries []HostStatus
-	// SilentControls are the control hosts that did not answer.
-	SilentControls []string
+	// Controls describes each control host that the settings list, by name.
+	Controls []ControlStatus
 }
 
 // History is the newest part of the audit log.
--- a/peer/message.go
+++ b/peer/message.go
@@ -60,10 +60,15 @@
 	FreshMillisecondsAgo int64 `json:"fresh_ago"`
 }
 
-// Hosts is what one control host heard of the entry hosts.
+// Hosts is what one control host knows of itself and the entry hosts.
 type Hosts struct {
 	// Heard are the entry hosts.
 	Heard []HostHeard `json:"heard,omitempty"`
+	// Version is the newest version that the control host itself holds.
+	Version uint64 `json:"version"`
+	// ProofMillisecondsAgo is the age of its proof of touch with the quorum, in
+	// milliseconds.
+	ProofMillisecondsAgo int64 `json:"proof_ago"`
 	// Capacity merges what those heard lately reported.
 	Capacity state.CapacityReport `json:"capacity"`
 }
