--- a/cmd/tanagerctl/print.go
+++ b/cmd/tanagerctl/print.go
@@ -29,7 +29,12 @@
 	if len(f.Services) == 0 {
 		return
 	}
-	fmt.Printf("  about %.1f%% of the load moves, by slots; counts from %d entries:\n", f.MovedPercent, f.Reporters)
+	if f.MovedPercent > 0 {
+		fmt.Printf("  about %.1f%% of the load moves, by slots", f.MovedPercent)
+	} else {
+		fmt.Print("  no load moves")
+	}
+	fmt.Printf("; counts from %d entries:\n", f.Reporters)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "    SERVICE\tSERVERS\tLEFT\tSLOTS\tLEFT\tLOAD MOVED")
 	for _, s := range f.Services {
--- a/state/figures.go
+++ b/state/figures.go
@@ -19,7 +19,8 @@
 	// Services are the affected services, those with the fewest servers left
 	// first, at most 50.
 	Services []ServiceFigures `json:"services,omitempty"`
-	// MovedPercent is the share of all load that moves, in percent of slots.
+	// MovedPercent is the share of the load that moves, in percent of slots: of
+	// all load, or of the requests that the intent is about.
 	MovedPercent float64 `json:"moved_percent"`
 	// HomelessAccounts are pinned client accounts that would have no
 	// availability zone in service, at most 50.
@@ -100,6 +101,8 @@
 	switch i.Kind {
 	case AdmitService, RetireService, SetServiceLimits, ClearServiceLimits:
 		return service == i.Subject
+	case SetAccountLimits, ClearAccountLimits:
+		return false
 	case PinRoute, UnpinRoute:
 		segment, _, whole := strings.Cut(strings.TrimPrefix(i.Subject, "/"), "/")
 		return segment == service || !whole && strings.HasPrefix(service, segment)
@@ -134,7 +137,7 @@
 			kept[row.Service] += row.Slots
 		}
 	}
-	f.collect(byService, kept, i.Kind.limits())
+	f.collect(byService, kept, i.Kind == SetServiceLimits || i.Kind == ClearServiceLimits)
 }
 
 // collect sorts the figures and sums the load that moves.
--- a/state/intent.go
+++ b/state/intent.go
@@ -47,11 +47,6 @@
 	}
 }
 
-// limits reports whether the kind changes limits.
-func (k Kind) limits() bool {
-	return k == SetServiceLimits || k == ClearServiceLimits || k == SetAccountLimits || k == ClearAccountLimits
-}
-
 // The largest sizes within an intent.
 const (
 	maxSubjectBytes = 512
