--- a/bench/capacity/parts.go
+++ b/bench/capacity/parts.go
@@ -40,7 +40,7 @@
 			Sizes: []int{10, 100, targetServices}, Target: targetServices, Measure: measureConfiguration,
 		},
 		{
-			Name: "configuration state machine of a control host", Unit: "changes", Operation: "apply one change",
+			Name: "configuration state machine of a control host", Unit: "changes", Operation: "plan and apply one change",
 			Sizes: []int{100, 1000, targetChanges}, Target: targetChanges, Measure: measureMachine,
 		},
 		{
@@ -64,9 +64,9 @@
 func measureTable(size int) Cost {
 	now := time.Now()
 	table, heap := heapOf(func() *membership.Table {
-		t := membership.NewTable(time.Hour)
+		t := membership.NewTable(membership.Origin{Host: "entry", Epoch: 1}, time.Hour)
 		for i := range size {
-			_ = t.Put(server(i), now)
+			_, _ = t.Put(server(i), now)
 		}
 		return t
 	})
@@ -74,33 +74,45 @@
 	work := timeOf(func(i int) {
 		b := server(i % size)
 		b.Generation, b.Sequence = uint64(2+i/size), uint64(2+i)
-		_ = table.Put(b, now)
+		_, _ = table.Put(b, now)
 	})
 	return Cost{Size: size, Heap: heap, Wire: float64(len(one)), Work: work}
 }
 
-// change applies the plan and the confirmation of one change.
-func change(m *state.Machine, i int, kind state.Kind, subject string) {
+// places are the availability zones of the measured state machine.
+var places = state.Places{Regions: map[string]string{"zone": "region", "other": "region"}}
+
+// change plans and confirms one intent.
+func change(m *state.Machine, kind state.Kind, subject string) {
 	intent := state.Intent{Kind: kind, Subject: subject, Regions: []string{"region"}}
-	plan := state.Plan{
-		ID: fmt.Sprintf("plan-%08d", i), Digest: "digest", BaseVersion: m.Configuration().Version, Intent: intent,
-	}
-	confirm := state.Confirm{ID: fmt.Sprintf("command-%08d", i), Plan: plan.ID, Digest: plan.Digest, Operator: "operator"}
-	for _, c := range []state.Command{{Plan: &plan}, {Confirm: &confirm}} {
-		data, _ := json.Marshal(c)
-		_, _ = m.Apply(data)
-	}
+	c := m.Configuration()
+	p := state.NewPlan(fmt.Sprintf("plan-%08d", c.Version), intent, c, places, state.CapacityReport{})
+	keep, _ := json.Marshal(state.Command{Plan: &p})
+	_, _ = m.Apply(keep)
+	confirm, _ := json.Marshal(state.Command{Confirm: &state.Confirm{
+		ID: fmt.Sprintf("command-%08d", c.Version), Plan: p.ID, Digest: p.Digest, Operator: "operator", At: time.Now(),
+	}})
+	_, _ = m.Apply(confirm)
 }
 
 // newMachine returns a state machine with a number of admitted services.
 func newMachine(services int) *state.Machine {
 	m := state.NewMachine()
 	for i := range services {
-		change(m, i, state.AdmitService, fmt.Sprintf("service-%d", i))
+		change(m, state.AdmitService, fmt.Sprintf("service-%d", i))
 	}
 	return m
 }
 
+// move takes an availability zone out or brings it back.
+func move(m *state.Machine, i int) {
+	kind := state.TakeZoneOut
+	if i%2 == 1 {
+		kind = state.BringZoneBack
+	}
+	change(m, kind, "zone")
+}
+
 // measureConfiguration measures one copy of the configuration.
 func measureConfiguration(size int) Cost {
 	data, _ := json.Marshal(newMachine(size).Configuration())
@@ -116,18 +128,15 @@
 // measureMachine measures the configuration's state machine at the letter's
 // number of services, as changes pile up.
 func measureMachine(size int) Cost {
-	pin := func(m *state.Machine, i int) {
-		change(m, targetServices+i, state.PinAccount, fmt.Sprintf("account-%d", i%targetServices))
-	}
 	m, heap := heapOf(func() *state.Machine {
 		m := newMachine(targetServices)
 		for i := range size {
-			pin(m, i)
+			move(m, i)
 		}
 		return m
 	})
 	snapshot, _ := m.Snapshot()
-	work := timeOf(func(i int) { pin(m, size+i) })
+	work := timeOf(func(i int) { move(m, i) })
 	return Cost{Size: size, Heap: heap, Wire: float64(len(snapshot)), Work: work}
 }
 
@@ -136,7 +145,7 @@
 	apply := func(m *ledger.Machine, i int) {
 		key, token := fmt.Sprintf("orders\x00account\x00key-%08d", i), fmt.Sprintf("token-%030d", i)
 		claim, _ := json.Marshal(ledger.Command{Op: ledger.OpClaim, Key: key, Token: token, Digest: fmt.Sprintf("%064d", i)})
-		answer := &ledger.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, answerBytes)}
+		answer := &ledger.Answer{Status: 200, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, answerBytes)}
 		settle, _ := json.Marshal(ledger.Command{Op: ledger.OpSettle, Key: key, Token: token, Answer: answer})
 		_, _ = m.Apply(claim)
 		_, _ = m.Apply(settle)
--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -93,6 +94,7 @@
 
 // apply carries out a ledger command.
 func (c *Control) apply(ctx context.Context, p peer.LedgerCommand) (ledger.Result, error) {
+	p.Command.Now = time.Now().UnixMilli()
 	data, err := json.Marshal(p.Command)
 	if err != nil {
 		return ledger.Result{}, errors.Wrap(err, "encode ledger command")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,9 +21,14 @@
 // maxAttempts bounds the backend servers that one request is sent to.
 const maxAttempts = 3
 
+// maxIdle bounds how long a connection was idle before it carries a request
+// that is not idempotent: such a request can't be sent again where it turns out
+// that the connection went silent.
+const maxIdle = time.Second
+
 // silenceLimit bounds the wait of an idempotent request for the first byte of
 // its answer on a reused connection, which may have gone silent.
-const silenceLimit = 2 * time.Second
+const silenceLimit = time.Second
 
 // Exchanger sends one attempt to one backend server.
 type Exchanger interface {
@@ -32,8 +38,19 @@
 
 // Claims is the ledger as an entry sees it.
 type Claims interface {
-	// Apply carries out a ledger command durably.
-	Apply(ctx context.Context, c ledger.Command) (ledger.Result, error)
+	// Apply carries out a ledger command durably in the ledger of the home
+	// regions, or in the common one if there are none. After an error the command
+	// may still be carried out later.
+	Apply(ctx context.Context, homes []string, c ledger.Command) (ledger.Result, error)
+}
+
+// Picker chooses the backend server of each attempt.
+type Picker interface {
+	// Reserve chooses a backend server and counts the attempt there. It may wait
+	// until ctx ends.
+	Reserve(ctx context.Context, r *request.Request, tried []netip.AddrPort) (balance.Started, error)
+	// Release ends the count of an attempt and learns from its answer.
+	Release(started balance.Started, a balance.Answer)
 }
 
 // Dispatcher carries requests to backend servers.
@@ -45,7 +62,9 @@
 	// Retries bounds retries.
 	Retries *limit.RetryBudget
 	// Balancer chooses backend servers.
-	Balancer *Balancer
+	Balancer Picker
+
+	outcomes sync.WaitGroup
 }
 
 // Dispatch carries the request to a backend server and returns its answer. Its
@@ -158,6 +177,8 @@
 	}
 	if r.Class == request.Read {
 		a.SilenceLimit = silenceLimit
+	} else {
+		a.MaxIdle = maxIdle
 	}
 	b.attach(a, h.ContentLength)
 	return a
@@ -165,7 +186,3 @@
 
 // newToken returns a token that identifies one arrival.
 func newToken() string { return request.NewID() }
-
-// settleTimeout bounds the storing of an order's outcome, also after the
-// caller has gone.
-const settleTimeout = 2 * time.Second
--- a/entry/loadshare.go
+++ b/entry/loadshare.go
@@ -57,13 +57,13 @@
 	s := e.settings
 	live := func() []string {
 		var names []string
-		for _, h := range regionEntries(s) {
+		for _, h := range e.members.Hosts().LiveInRegion(s.Region()) {
 			names = append(names, h.Name)
 		}
 		return names
 	}
 	return &dispatch.Balancer{
-		Members:       e.table.View,
+		Members:       e.members.Table().View,
 		Configuration: e.follower.current,
 		Place: balance.Place{
 			AvailabilityZone: s.Host.AvailabilityZone, Regions: s.Regions, Hops: balance.DefaultHops(),
@@ -74,6 +74,16 @@
 	}
 }
 
+// picker returns the choice of backend servers that the settings name.
+func (e *Entry) picker() dispatch.Picker {
+	if e.settings.Balance.Policy == settings.PolicyRoundRobin {
+		return &dispatch.RoundRobin{
+			Members: e.members.Table().View, Configuration: e.follower.current, Regions: e.settings.Regions,
+		}
+	}
+	return e.balancer
+}
+
 // regionEntries returns the entry hosts of the host's region, with itself.
 func regionEntries(s *settings.Settings) []settings.Host {
 	var found []settings.Host
--- a/peer/message.go
+++ b/peer/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"tanagerbarrow/ledger"
-	"tanagerbarrow/membership"
 	"tanagerbarrow/state"
 )
 
@@ -16,8 +15,6 @@
 	MethodHosts = "hosts.list"
 	// MethodLedger carries out a ledger command.
 	MethodLedger = "ledger.apply"
-	// MethodMembers tells another entry of backend servers.
-	MethodMembers = "membership.push"
 )
 
 // Hello presents a process to its peer.
@@ -83,14 +80,10 @@
 	MillisecondsAgo int64 `json:"ago"`
 }
 
-// Members tells of backend servers.
-type Members struct {
-	// Servers are the records of the telling host.
-	Servers []membership.BackendServer `json:"servers"`
-}
-
 // LedgerCommand is a ledger command on its way to the voters.
 type LedgerCommand struct {
+	// Group is the name of the ledger group, see [ledger.GroupOf].
+	Group string `json:"group,omitempty"`
 	// Command is what to do.
 	Command ledger.Command `json:"command"`
 }
