--- a/caller/matrix_test.go
+++ b/caller/matrix_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -35,7 +36,7 @@
 // memoryClaims is a ledger without replication.
 type memoryClaims struct{ machine *ledger.Machine }
 
-func (m memoryClaims) Apply(_ context.Context, c ledger.Command) (ledger.Result, error) {
+func (m memoryClaims) Apply(_ context.Context, _ []string, c ledger.Command) (ledger.Result, error) {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return ledger.Result{}, err
@@ -56,6 +57,7 @@
 	mu    sync.Mutex
 	last  error
 	ended chan struct{}
+	once  sync.Once
 }
 
 func (o *outcomes) Dispatch(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error) {
@@ -64,7 +66,7 @@
 		o.mu.Lock()
 		o.last = err
 		o.mu.Unlock()
-		close(o.ended)
+		o.once.Do(func() { close(o.ended) })
 	}
 	return res, err
 }
@@ -110,7 +112,10 @@
 	}
 	routes := echo.New()
 	front.Register(routes)
-	return &testEntry{Server: httptest.NewServer(routes), outcomes: o, exchanger: exchanger}
+	e := &testEntry{Server: httptest.NewUnstartedServer(routes), outcomes: o, exchanger: exchanger}
+	e.Config.ErrorLog = log.New(io.Discard, "", 0)
+	e.Start()
+	return e
 }
 
 // kind is a kind of request.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,18 +18,24 @@
 	"tanagerbarrow/verdict"
 )
 
-// The bounds of the attempts of one request.
+// The bounds of one request's tries.
 const (
-	// maxAttempts bounds the attempts that may have run.
+	// maxAttempts bounds the backend servers that one request is sent to.
 	maxAttempts = 3
-	// maxTries bounds all attempts, with those that provably did not run: where
-	// an availability zone is lost, several connections in a row are refused.
-	maxTries = 10
+	// maxDialFailures bounds the backend servers that one request finds
+	// unreachable. It is larger, because nothing was sent to them, and the
+	// servers of a whole availability zone may have gone at once.
+	maxDialFailures = 8
 )
 
+// maxIdle bounds how long a connection was idle before it carries a request
+// that is not idempotent: such a request can't be sent again where it turns out
+// that the connection went silent.
+const maxIdle = time.Second
+
 // silenceLimit bounds the wait of an idempotent request for the first byte of
 // its answer on a reused connection, which may have gone silent.
-const silenceLimit = 2 * time.Second
+const silenceLimit = time.Second
 
 // Exchanger sends one attempt to one backend server.
 type Exchanger interface {
@@ -38,8 +45,10 @@
 
 // Claims is the ledger as an entry sees it.
 type Claims interface {
-	// Apply carries out a ledger command durably.
-	Apply(ctx context.Context, c ledger.Command) (ledger.Result, error)
+	// Apply carries out a ledger command durably in the ledger of the home
+	// regions, or in the common one if there are none. After an error the command
+	// may still be carried out later.
+	Apply(ctx context.Context, homes []string, c ledger.Command) (ledger.Result, error)
 }
 
 // Picker chooses the backend server of each attempt.
@@ -61,6 +70,8 @@
 	Retries *limit.RetryBudget
 	// Balancer chooses backend servers.
 	Balancer Picker
+
+	outcomes sync.WaitGroup
 }
 
 // Dispatch carries the request to a backend server and returns its answer. Its
@@ -74,13 +85,13 @@
 }
 
 // attempts sends the request to one backend server after another until one
-// answers or a failure forbids a retry.
+// answers or a failure forbids a retry. A failed dial costs nothing of the retry
+// budget.
 func (d *Dispatcher) attempts(ctx context.Context, r *request.Request, h *http.Request, body body) (*http.Response, error) {
 	d.Retries.Request()
 	var tried []netip.AddrPort
 	var last error
-	attempts := 0
-	for range maxTries {
+	for sent, unreachable := 0, 0; sent < maxAttempts && unreachable < maxDialFailures; {
 		started, err := d.Balancer.Reserve(ctx, r, tried)
 		if err != nil {
 			last = d.reserveError(r, err, last)
@@ -95,10 +106,15 @@
 		if !backend.ConnectionAtFault(err) {
 			tried = append(tried, to)
 		}
-		if verdict.Of(err) != verdict.NotRun {
-			attempts++
+		if ctx.Err() != nil || !mayRetry(r, err, body) {
+			break
 		}
-		if attempts == maxAttempts || ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
+		if verdict.As(err).Code == backend.CodeDialFailed {
+			unreachable++
+			continue
+		}
+		sent++
+		if !d.Retries.Retry() {
 			break
 		}
 	}
@@ -177,6 +193,8 @@
 	}
 	if r.Class == request.Read {
 		a.SilenceLimit = silenceLimit
+	} else {
+		a.MaxIdle = maxIdle
 	}
 	b.attach(a, h.ContentLength)
 	return a
@@ -184,7 +202,3 @@
 
 // newToken returns a token that identifies one arrival.
 func newToken() string { return request.NewID() }
-
-// settleTimeout bounds the storing of an order's outcome, also after the
-// caller has gone.
-const settleTimeout = 2 * time.Second
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,8 @@
 	callers   *platform.Server
 	admin     *platform.Server
 	peerLinks net.Listener
+
+	dispatcher *dispatch.Dispatcher
 }
 
 // New opens the listeners of an entry. Run serves on them.
@@ -102,14 +104,15 @@
 
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
+	e.dispatcher = &dispatch.Dispatcher{
+		Exchanger: e.newExchanger(),
+		Claims:    newClaims(e.settings.Regions, controls),
+		Retries:   limit.NewRetryBudget(),
+		Balancer:  e.picker(),
+	}
 	front := &caller.Front{
-		Configuration: e.follower.serving,
-		Dispatcher: &dispatch.Dispatcher{
-			Exchanger: e.newExchanger(),
-			Claims:    &claims{controls: controls},
-			Retries:   limit.NewRetryBudget(),
-			Balancer:  e.picker(),
-		},
+		Configuration:  e.follower.serving,
+		Dispatcher:     e.dispatcher,
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
 		RequestTimeout: e.settings.Limits.RequestTimeout,
@@ -176,6 +179,7 @@
 	err := e.members.HandOver(ctx)
 	<-delay
 	err = errors.CombineErrors(err, e.callers.Shutdown(e.settings.Limits.DrainTimeout))
+	e.dispatcher.Drain()
 	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.peerLinks.Close())
 	e.peers.Close()
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -49,6 +49,7 @@
 func newFollower(s *settings.Settings, controls, relays []*peer.Client, log zerolog.Logger) *follower {
 	f := &follower{
 		host: s.Host.Name, controls: startAt(controls, s.Host.Name), log: log, feed: state.NewFeed(),
+		prepare: func(*state.Configuration) {}, applied: func(*state.Configuration) {},
 		touch: &touch{maxAge: s.Entry.MaxConfigurationAge, hasRelays: len(relays) > 0},
 	}
 	var far []*peer.Client
