--- a/bench/integration/zone_test.go
+++ b/bench/integration/zone_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"tanagerbarrow/bench/load"
 	"tanagerbarrow/bench/standin"
 	"tanagerbarrow/entry"
+	"tanagerbarrow/membership"
 	"tanagerbarrow/operator"
 	"tanagerbarrow/platform"
 	"tanagerbarrow/request"
@@ -215,8 +217,21 @@
 	traffic.end(t)
 }
 
+// hostStatus returns what an entry thinks of a host.
+func (s *system) hostStatus(on cluster.Process, host string) membership.Status {
+	for _, h := range s.membersOf(on).Hosts {
+		if h.Host == host {
+			return h.Status
+		}
+	}
+	return membership.Alive
+}
+
 // members returns the backend servers that an entry knows.
-func (s *system) members(e cluster.Process) []entry.Member {
+func (s *system) members(e cluster.Process) []entry.Member { return s.membersOf(e).Servers }
+
+// membersOf returns what an entry knows of backend servers and hosts.
+func (s *system) membersOf(e cluster.Process) entry.Members {
 	s.t.Helper()
 	r, err := http.NewRequest(http.MethodGet, "http://"+e.Admin.String()+entry.MembersPath, nil)
 	if err != nil {
@@ -232,7 +247,7 @@
 	if err := json.NewDecoder(res.Body).Decode(&got); err != nil {
 		s.t.Fatal(err)
 	}
-	return got.Servers
+	return got
 }
 
 // listed reports whether any entry lists a backend server as usable.
@@ -285,6 +300,33 @@
 	traffic.end(t)
 }
 
+// An entry that is frozen is found dead, costs no backend server its place, and
+// counts as alive again soon after it wakes.
+func TestFrozenEntryIsFoundDeadAndReturns(t *testing.T) {
+	s := startSystem(t, zoneSize)
+	backends := s.zoneStandIns("catalogue", 1)
+	s.admit("catalogue")
+	frozen, awake := s.Entries[0], s.Entries[1:3]
+	traffic := startTraffic(awake, "frozen", "/catalogue/bells")
+	s.waitForWork(backends["a"])
+	if err := s.processes[frozen.Name].Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range awake {
+		s.eventually("the frozen entry is dead", func() bool { return s.hostStatus(e, frozen.Name) == membership.Dead })
+	}
+	s.waitForWork(backends["a"])
+	if err := s.processes[frozen.Name].Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range awake {
+		s.eventually("the entry is alive", func() bool { return s.hostStatus(e, frozen.Name) == membership.Alive })
+	}
+	s.eventually("the entry serves", func() bool { return len(serversSeen(frozen, 20)) > 0 })
+	s.waitForWork(backends["a"])
+	traffic.end(t)
+}
+
 // Requests with home regions never leave them, also when the home is lost.
 func TestLostHomeRegion(t *testing.T) {
 	s := startSystem(t, zoneSize)
