--- a/bench/integration/zone_test.go
+++ b/bench/integration/zone_test.go
@@ -283,7 +283,9 @@
 }
 
 func TestGracefulStopOfAnEntry(t *testing.T) {
-	s := startSystem(t, zoneSize)
+	size := zoneSize
+	size.Extra = "[limits]\nstop-delay = 4s"
+	s := startSystem(t, size)
 	backends := s.zoneStandIns("catalogue", 1)
 	s.admit("catalogue")
 	traffic := startTraffic(s.Entries[:3], "stop", "/catalogue/bells")
@@ -292,6 +294,14 @@
 	if err := stopped.Process.Signal(os.Interrupt); err != nil {
 		t.Fatal(err)
 	}
+	url := "http://" + s.Entries[0].Admin.String() + platform.ReadyPath
+	s.eventually("the entry is unready", func() bool { return status(url) == http.StatusServiceUnavailable })
+	got, err := http.Get("http://" + s.Entries[0].Caller.String() + "/catalogue/bells")
+	if err != nil || got.StatusCode != http.StatusOK || !got.Close {
+		t.Errorf("the unready entry does not serve on and close: %+v, %v", got, err)
+	} else {
+		_ = got.Body.Close()
+	}
 	if err := stopped.Wait(); err != nil {
 		t.Errorf("the entry did not stop cleanly: %v", err)
 	}
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -141,7 +141,8 @@
 func TestStoppedEntryHandsItsLeasesOver(t *testing.T) {
 	inBubble(t, 8, func(t *testing.T, f *fakeNetwork) {
 		a := f.announce(9000, "b", "e0")
-		time.Sleep(5 * time.Second)
+		// After one announcement, so that the others know its newest sequence.
+		time.Sleep(500 * time.Millisecond)
 		a.stop()
 		owner := "e1"
 		if len(f.nodes["e5"].Table().Owned()) == 1 {
