--- a/backend/upload.go
+++ b/backend/upload.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,6 +13,10 @@
 // uploadBufferBytes is how much of a body is held on its way, in bytes.
 const uploadBufferBytes = 64 << 10
 
+// uploadSettleTime bounds the wait for the last write of a body to return after
+// the whole answer came.
+const uploadSettleTime = 10 * time.Millisecond
+
 // uploadWriters are the buffers of bodies on their way.
 var uploadWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, uploadBufferBytes) }}
 
@@ -20,12 +24,13 @@
 // backend server may answer before it has read the whole body.
 type upload struct {
 	source uploadSource
-	done   atomic.Bool
+	// written is closed once the whole body was written.
+	written chan struct{}
 }
 
 // startUpload begins to send the request on the connection.
 func startUpload(c *conn, r *http.Request) *upload {
-	u := &upload{source: uploadSource{in: r.Body}}
+	u := &upload{source: uploadSource{in: r.Body}, written: make(chan struct{})}
 	r.Body = &u.source
 	go u.run(c, r)
 	return u
@@ -43,7 +48,7 @@
 	out.Reset(nil)
 	uploadWriters.Put(out)
 	if err == nil {
-		u.done.Store(true)
+		close(u.written)
 		return
 	}
 	if u.source.failed() == nil && r.ContentLength >= 0 {
@@ -54,8 +59,20 @@
 	}
 }
 
-// complete reports whether the whole body was written.
-func (u *upload) complete() bool { return u == nil || u.done.Load() }
+// complete reports whether the whole body was written. A backend server may
+// answer before the last write has returned here, so complete waits for a
+// moment.
+func (u *upload) complete() bool {
+	if u == nil {
+		return true
+	}
+	select {
+	case <-u.written:
+		return true
+	case <-time.After(uploadSettleTime):
+		return false
+	}
+}
 
 // failure returns why the body could not be read, or nil.
 func (u *upload) failure() error {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,20 +2,19 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
 	"tanagerbarrow/request"
-	"tanagerbarrow/state"
 	"tanagerbarrow/verdict"
 )
 
@@ -47,21 +46,15 @@
 
 // Dispatcher carries requests to backend servers.
 type Dispatcher struct {
-	// Members returns the known backend servers.
-	Members func() *membership.View
-	// Configuration returns the configuration in force.
-	Configuration func() *state.Configuration
-	// Regions maps each availability zone to its region.
-	Regions map[string]string
 	// Exchanger sends attempts.
 	Exchanger Exchanger
 	// Claims is the ledger.
 	Claims Claims
 	// Retries bounds retries.
 	Retries *limit.RetryBudget
+	// Balancer chooses backend servers.
+	Balancer *Balancer
 
-	ejector  balance.Ejector
-	inFlight sync.Map // netip.AddrPort to *balance.InFlight
 	outcomes sync.WaitGroup
 }
 
@@ -82,28 +75,40 @@
 	var tried []netip.AddrPort
 	var last error
 	for range maxAttempts {
-		to := d.pick(r, tried)
-		if to == nil {
+		started, err := d.Balancer.Reserve(ctx, r, tried)
+		if err != nil {
+			last = d.reserveError(r, err, last)
 			break
 		}
-		res, err := d.send(ctx, to, r, h, body)
+		to := started.Server.Record.Address
+		res, err := d.send(ctx, started, r, h, body)
 		if err == nil {
 			return res, nil
 		}
 		last = weaker(last, err)
 		if !backend.ConnectionAtFault(err) {
-			tried = append(tried, to.Address)
+			tried = append(tried, to)
 		}
 		if ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
 			break
 		}
 	}
-	if last == nil {
-		last = d.noServer(r)
-	}
 	return nil, last
 }
 
+// reserveError returns the error of a request that got no further backend
+// server: that of its last attempt, if there was one.
+func (d *Dispatcher) reserveError(r *request.Request, err, last error) error {
+	switch {
+	case last != nil:
+		return last
+	case errors.Is(err, errNoServer):
+		return d.noServer(r)
+	default:
+		return err
+	}
+}
+
 // weaker returns the newer error, but never lets it promise more than the
 // earlier one: a request that may have run in one attempt may have run.
 func weaker(earlier, newer error) error {
@@ -130,65 +135,28 @@
 		"service %q has no backend server in regions %q", r.Service.Name, r.HomeRegions)
 }
 
-// pick chooses the next backend server. An ejected one is chosen only where no
-// other is left.
-func (d *Dispatcher) pick(r *request.Request, tried []netip.AddrPort) *membership.BackendServer {
-	config := d.Configuration()
-	servers := d.Members().Services[r.Service.Name]
-	now := time.Now()
-	allowed := func(b *membership.BackendServer) bool {
-		return !config.ZonesOut[b.AvailabilityZone] && r.AllowedIn(d.Regions[b.AvailabilityZone]) &&
-			!slices.Contains(tried, b.Address)
-	}
-	healthy := func(b *membership.BackendServer) bool {
-		return allowed(b) && !d.ejector.Ejected(b.Address, now)
-	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if to := balance.TwoChoices(servers, healthy, d.load, random); to != nil {
-		return to
-	}
-	return balance.TwoChoices(servers, allowed, d.load, random)
-}
-
-// load returns this entry's requests in progress for each slot.
-func (d *Dispatcher) load(b *membership.BackendServer) float64 {
-	return float64(d.counter(b.Address).Load()) / float64(b.Slots)
-}
-
-// counter returns the count of requests in progress on an address.
-func (d *Dispatcher) counter(address netip.AddrPort) *balance.InFlight {
-	if c, ok := d.inFlight.Load(address); ok {
-		return c.(*balance.InFlight)
-	}
-	c, _ := d.inFlight.LoadOrStore(address, &balance.InFlight{})
-	return c.(*balance.InFlight)
-}
-
 // send sends one attempt and counts it until its answer is whole or closed. It
 // holds the beginning of the answer, so that an answer cut there is an error.
 func (d *Dispatcher) send(
-	ctx context.Context, to *membership.BackendServer, r *request.Request, h *http.Request, b body,
+	ctx context.Context, on balance.Started, r *request.Request, h *http.Request, b body,
 ) (*http.Response, error) {
-	count := d.counter(to.Address)
-	count.Add(1)
+	start := time.Now()
+	to := &on.Server.Record
 	res, err := d.Exchanger.Exchange(ctx, to, newAttempt(r, h, b))
 	whole := false
 	if err == nil {
 		whole, err = holdAnswer(ctx, res, to)
 	}
+	answer := answerOf(ctx, res, err, time.Since(start))
 	if err != nil {
-		count.Add(-1)
-		if backend.ServerAtFault(err) {
-			d.ejector.Failed(to.Address, time.Now())
-		}
+		d.Balancer.Release(on, answer)
 		return nil, err
 	}
-	d.ejector.Succeeded(to.Address)
 	if whole {
-		count.Add(-1)
+		d.Balancer.Release(on, answer)
 		return res, nil
 	}
-	res.Body = &countedBody{ReadCloser: res.Body, count: count}
+	res.Body = &countedBody{ReadCloser: res.Body, release: func() { d.Balancer.Release(on, answer) }}
 	return res, nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"tanagerbarrow/access"
 	"tanagerbarrow/backend"
 	"tanagerbarrow/caller"
 	"tanagerbarrow/dispatch"
@@ -27,6 +28,7 @@
 	reasonNoConfiguration = "no configuration"
 	reasonStopping        = "stopping"
 	reasonZoneOut         = "availability zone out"
+	reasonCutOff          = "cut off"
 )
 
 // expiryPeriod is the time between searches for ended leases.
@@ -41,6 +43,8 @@
 	table     *membership.Table
 	follower  *follower
 	spreader  *spreader
+	balancer  *dispatch.Balancer
+	sharer    *loadSharer
 	peers     *peer.Server
 	callers   *platform.Server
 	admin     *platform.Server
@@ -51,6 +55,10 @@
 
 // New opens the listeners of an entry. Run serves on them.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
+	secure, err := access.LoadTLS(s.Access.TLS)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		settings: s, log: log,
 		metrics: telemetry.NewMetrics(),
@@ -58,11 +66,21 @@
 		table:   membership.NewTable(s.Limits.LeaseDuration),
 	}
 	controls := clients(s, s.ControlHosts)
-	e.follower = newFollower(s, controls, log)
-	e.follower.applied = e.configurationApplied
+	e.follower = newFollower(s, controls, clients(s, s.EntryHosts), log)
+	e.follower.applied, e.follower.cutOff, e.follower.members = e.configurationApplied, e.cutOff, e.table.View
+	if err := e.follower.openStore(s.Entry.DataFolder); err != nil {
+		return nil, err
+	}
+	e.follower.measure(e.metrics.Set)
 	e.spreader = newSpreader(clients(s, s.EntryHosts), log)
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
+	e.peers.UseTLS(secure.PeerServer())
+	e.peers.CountIn(e.metrics.Set)
 	e.peers.Handle(peer.MethodMembers, peer.Typed(e.members))
+	e.balancer = e.newBalancer()
+	e.sharer = newLoadSharer(s, e.balancer, e.metrics)
+	e.peers.Handle(peer.MethodLoad, peer.Typed(e.sharer.accept))
+	e.peers.Handle(peer.MethodWatch, peer.Typed(e.follower.relay))
 	return e, e.listen(controls)
 }
 
@@ -82,15 +100,13 @@
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
 	e.dispatcher = &dispatch.Dispatcher{
-		Members:       e.table.View,
-		Configuration: e.follower.current,
-		Regions:       e.settings.Regions,
-		Exchanger:     backend.NewExchanger(),
-		Claims:        newClaims(e.settings.Regions, controls),
-		Retries:       limit.NewRetryBudget(),
+		Exchanger: backend.NewExchanger(),
+		Claims:    newClaims(e.settings.Regions, controls),
+		Retries:   limit.NewRetryBudget(),
+		Balancer:  e.balancer,
 	}
 	front := &caller.Front{
-		Configuration:  e.follower.current,
+		Configuration:  e.follower.serving,
 		Dispatcher:     e.dispatcher,
 		Region:         e.settings.Region(),
 		HomeEntries:    e.homeEntries,
@@ -130,6 +146,7 @@
 	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
 	g.Go(func() error { return e.follower.run(work) })
 	g.Go(func() error { return e.spreader.run(work) })
+	g.Go(func() error { return e.sharer.run(work) })
 	g.Go(func() error { return e.expire(work) })
 	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
 	<-ctx.Done()
@@ -197,7 +214,7 @@
 	var all []*peer.Client
 	for _, h := range hosts {
 		if h.Peer != s.Host.Peer {
-			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h))
+			all = append(all, peer.NewClient(s.Host.Name, s.Access.PeerKey, h).UseTLS(s.Access.TLS))
 		}
 	}
 	return all
