Let uploads arrive whole or be seen as cut

Cause: an answer that came before the end of a body made the HTTP server read and drop the rest of the body beside the upload; a body error in the middle of a stream was a server error; digests were not checked.

Change: bodies are read in full duplex, and a body that nobody waits for any more is ended by a read deadline. Orders check the digest before the claim.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"tanagerbarrow/membership"
+	"tanagerbarrow/request"
 	"tanagerbarrow/telemetry"
 	"tanagerbarrow/verdict"
 )
@@ -53,6 +54,8 @@
 	CodeCallerGone = "caller_gone"
 	// CodeBodyCut means that the request's body ended early.
 	CodeBodyCut = "body_cut"
+	// CodeDigestMismatch means that the body does not match its Content-Digest.
+	CodeDigestMismatch = "digest_mismatch"
 	// CodeBodyTooLarge means that the request's body passed its bound.
 	CodeBodyTooLarge = "body_too_large"
 )
@@ -186,7 +189,7 @@
 		v = verdict.NotRun
 	}
 	if cause := e.upload.failure(); cause != nil {
-		return bodyFailure(cause, v, e.to)
+		return BodyFailure(cause, v, e.to.Service)
 	}
 	status, code := classify(ctx, CodeExchangeFailed)
 	switch {
@@ -284,15 +287,19 @@
 		"connect to backend server %s of service %q", to.Address, to.Service)
 }
 
-// bodyFailure returns the error of a request whose body could not be read.
-func bodyFailure(err error, v verdict.Verdict, to *membership.BackendServer) error {
+// BodyFailure returns the error of a request to the service whose body could
+// not be read.
+func BodyFailure(err error, v verdict.Verdict, service string) error {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return verdict.Wrap(err, v, http.StatusRequestEntityTooLarge, CodeBodyTooLarge,
 			"the body has more than %d bytes", tooLarge.Limit)
+	case errors.Is(err, request.ErrDigestMismatch):
+		return verdict.Wrap(err, v, http.StatusBadRequest, CodeDigestMismatch, "read the body for service %q", service)
+	default:
+		return verdict.Wrap(err, v, http.StatusBadRequest, CodeBodyCut, "read the body for service %q", service)
 	}
-	return verdict.Wrap(err, v, http.StatusBadRequest, CodeBodyCut,
-		"read the body for service %q", to.Service)
 }
 
 // AnswerCut returns the error of an answer of the backend server whose reading
--- a/caller/front.go
+++ b/caller/front.go
@@ -70,7 +70,12 @@
 	if !r.AllowedIn(f.Region) {
 		return f.misdirected(c, r, start)
 	}
-	h.Body = http.MaxBytesReader(c.Response(), h.Body, f.MaxBodyBytes)
+	if h.ContentLength != 0 {
+		defer f.takeBody(c, h)()
+	}
+	if err := request.CheckBody(h); err != nil {
+		return f.fail(c, r, id, start, err)
+	}
 	ctx, cancel := context.WithDeadline(h.Context(), r.Deadline)
 	defer cancel()
 	res, err := f.Dispatcher.Dispatch(ctx, r, h)
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"tanagerbarrow/backend"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/request"
@@ -56,7 +54,7 @@
 
 // claimAndSend claims the order's key and sends the order if it was granted.
 func (d *Dispatcher) claimAndSend(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error) {
-	held, err := holdBody(h)
+	held, err := holdBody(r, h)
 	if err != nil {
 		return nil, err
 	}
@@ -82,13 +80,13 @@
 }
 
 // holdBody reads the whole body of an order.
-func holdBody(h *http.Request) ([]byte, error) {
+func holdBody(r *request.Request, h *http.Request) ([]byte, error) {
 	if h.Body == nil || h.Body == http.NoBody {
 		return nil, nil
 	}
 	held, err := io.ReadAll(io.LimitReader(h.Body, maxOrderBytes+1))
 	if err != nil {
-		return nil, bodyError(err)
+		return nil, backend.BodyFailure(err, verdict.NotRun, r.Service.Name)
 	}
 	if len(held) > maxOrderBytes {
 		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, CodeOrderTooLarge,
@@ -97,16 +95,6 @@
 	return held, nil
 }
 
-// bodyError returns the error of a body that was read before anything was sent.
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return verdict.Wrap(err, verdict.NotRun, http.StatusRequestEntityTooLarge, backend.CodeBodyTooLarge,
-			"the body has more than %d bytes", tooLarge.Limit)
-	}
-	return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, backend.CodeBodyCut, "read the order's body")
-}
-
 // claimKey returns the ledger's key of an order. It is a hash, so that neither
 // the key nor the client account stands in the ledger's files.
 func claimKey(r *request.Request) string {
