Decide home regions before anything else is judged

Cause: a misdirected request with another fault was answered for that fault, and its first path segment could reach the outside entry's log; a repeated slash or a dot segment led around the pin of a route.

Change: home regions are the first decision, also beside an error. Pins see repeated slashes as one; paths with dot segments are refused with NotRun.

Not looked through: data folders and connections of outside processes.

--- a/caller/front.go
+++ b/caller/front.go
@@ -63,13 +63,13 @@
 	id := request.NewID()
 	c.Response().Header().Set(telemetry.RequestIDHeader, id)
 	r, err := f.classify(h, start)
+	if r != nil && !r.AllowedIn(f.Region) {
+		return f.misdirected(c, r, start)
+	}
 	if err != nil {
 		return f.fail(c, r, id, start, err)
 	}
 	r.ID = id
-	if !r.AllowedIn(f.Region) {
-		return f.misdirected(c, r, start)
-	}
 	if h.ContentLength != 0 {
 		defer f.takeBody(c, h)()
 	}
@@ -86,18 +86,20 @@
 	return f.answer(c, r, start, res)
 }
 
-// classify reads the headers against the configuration.
+// classify reads the headers against the configuration. The request is nil only
+// without a configuration.
 func (f *Front) classify(h *http.Request, now time.Time) (*request.Request, error) {
 	config := f.Configuration()
 	if config == nil {
 		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_configuration",
 			"this entry has no configuration yet")
 	}
-	if h.ContentLength > f.MaxBodyBytes {
-		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
+	r, err := request.Classify(config, h, now, f.RequestTimeout)
+	if err == nil && h.ContentLength > f.MaxBodyBytes {
+		err = verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
 			"the body has %d bytes, at most %d are allowed", h.ContentLength, f.MaxBodyBytes)
 	}
-	return request.Classify(config, h, now, f.RequestTimeout)
+	return r, err
 }
 
 // misdirected refuses a request that may not be served in this region. It
--- a/request/request.go
+++ b/request/request.go
@@ -62,29 +62,57 @@
 }
 
 // Classify reads a request's headers against a configuration. Its errors are
-// *[verdict.Error] with [verdict.NotRun].
+// *[verdict.Error] with [verdict.NotRun]. Home regions come first: they are set
+// also beside an error, so that nothing of the request need be logged outside.
 func Classify(c *state.Configuration, h *http.Request, now time.Time, timeout time.Duration) (*Request, error) {
+	r := &Request{Account: account(h), Key: h.Header.Get(KeyHeader)}
+	r.HomeRegions = c.HomeRegions(r.Account, pinnedPath(h.URL.Path))
+	if hasDotSegment(h.URL.Path) {
+		return r, verdict.New(verdict.NotRun, http.StatusBadRequest, "bad_path", "the path has a dot segment")
+	}
 	name := serviceName(h.URL.Path)
 	service, ok := c.Services[name]
 	if !ok {
-		return nil, verdict.New(verdict.NotRun, http.StatusNotFound, "unknown_service",
+		return r, verdict.New(verdict.NotRun, http.StatusNotFound, "unknown_service",
 			"service %q is not admitted", name)
 	}
-	r := &Request{Service: service, Account: account(h), Key: h.Header.Get(KeyHeader)}
+	r.Service = service
 	if len(r.Key) > maxKeyBytes {
-		return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, "key_too_long",
+		return r, verdict.New(verdict.NotRun, http.StatusBadRequest, "key_too_long",
 			"%s has %d bytes, at most %d are allowed", KeyHeader, len(r.Key), maxKeyBytes)
 	}
 	r.Class = classOf(h.Method, r.Key)
-	r.HomeRegions = c.HomeRegions(r.Account, h.URL.Path)
 	wait, err := callerTimeout(h, timeout)
 	if err != nil {
-		return nil, err
+		return r, err
 	}
 	r.Deadline = now.Add(wait)
 	return r, nil
 }
 
+// pinnedPath returns the path as pins of routes see it: repeated slashes, which
+// servers tend to take for one, can't lead around a pin.
+func pinnedPath(path string) string {
+	for strings.Contains(path, "//") {
+		path = strings.ReplaceAll(path, "//", "/")
+	}
+	return path
+}
+
+// hasDotSegment reports whether a segment of the path is "." or "..", with which
+// it would lead around pins of routes.
+func hasDotSegment(path string) bool {
+	if !strings.Contains(path, "/.") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 // serviceName returns the first segment of the path.
 func serviceName(path string) string {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
