--- a/caller/matrix_test.go
+++ b/caller/matrix_test.go
@@ -152,7 +152,7 @@
 	routes := echo.New()
 	front.Register(routes)
 	e := &testEntry{Server: httptest.NewUnstartedServer(routes), outcomes: o, exchanger: exchanger, ticked: make(chan struct{})}
-	go e.tick(o.Dispatcher.(*dispatch.Dispatcher).Balancer)
+	go e.tick(o.Dispatcher.(*dispatch.Dispatcher).Balancer.(*dispatch.Balancer))
 	e.Config.ErrorLog = log.New(io.Discard, "", 0)
 	e.Start()
 	return e
--- a/control/control.go
+++ b/control/control.go
@@ -27,7 +27,7 @@
 	log       zerolog.Logger
 	machine   *state.Machine
 	config    consensus.Replicator
-	ledger    consensus.Replicator
+	replicas  *replicas
 	peers     *peer.Server
 	operators *platform.Server
 	peerLinks net.Listener
@@ -44,18 +44,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.config, err = consensus.OpenSingle(s.Control.DataFolder, "configuration", s.Host.Name, c.machine); err != nil {
-		return nil, err
-	}
-	if c.ledger, err = consensus.OpenSingle(s.Control.DataFolder, "ledger", s.Host.Name, ledger.NewMachine()); err != nil {
+	if c.replicas, err = openReplicas(s, c.machine, c.metrics, log); err != nil {
 		return nil, err
 	}
+	c.config = c.replicas.nodes[GroupConfiguration]
 	c.peers = peer.NewServer(s.Access.PeerKey, log)
 	c.peers.UseTLS(secure.PeerServer())
 	c.peers.CountIn(c.metrics.Set)
 	c.distribution = newDistribution(s, c.machine.Feed(), c.config, log)
 	c.distribution.register(c.peers)
 	c.peers.Handle(peer.MethodLedger, peer.Typed(c.apply))
+	c.peers.ServeReplicas(c.replicas.find)
 	api := &operator.API{
 		Key: s.Access.OperatorKey, Places: places, Machine: c.machine,
 		Replicator: c.config, Capacity: c.distribution, Hosts: c.distribution.hosts,
@@ -80,14 +79,16 @@
 	g.Go(func() error { return c.peers.Serve(work, c.peerLinks) })
 	g.Go(func() error { return c.distribution.run(work) })
 	c.log.Info().Stringer("operators", c.settings.Control.OperatorListen).Msg("control started")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-c.replicas.failed:
+	}
 	err := c.operators.Shutdown(c.settings.Limits.DrainTimeout)
+	err = errors.CombineErrors(err, c.replicas.close())
 	err = errors.CombineErrors(err, c.peerLinks.Close())
 	stop()
 	c.peers.Close()
 	err = errors.CombineErrors(err, g.Wait())
-	err = errors.CombineErrors(err, c.config.Close())
-	err = errors.CombineErrors(err, c.ledger.Close())
 	c.log.Info().Err(err).Msg("control stopped")
 	return err
 }
@@ -99,7 +100,11 @@
 	if err != nil {
 		return ledger.Result{}, errors.Wrap(err, "encode ledger command")
 	}
-	result, err := c.ledger.Propose(ctx, data)
+	group, err := c.replicas.ledger(p.Group)
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	result, err := group.Propose(ctx, data)
 	if err != nil {
 		return ledger.Result{}, err
 	}
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -19,7 +19,6 @@
 	"pgregory.net/rapid"
 
 	"tanagerbarrow/backend"
-	"tanagerbarrow/balance"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
@@ -149,10 +148,10 @@
 		return broken(verdict.MayHaveRun)
 	case "cut":
 		w.runs[arrival]++
-		return stepReply{res: orderAnswer(arrival, io.MultiReader(strings.NewReader("ran"), errReader{}))}
+		return stepReply{res: responseOf(arrival, io.MultiReader(strings.NewReader("ran"), errReader{}))}
 	default:
 		w.runs[arrival]++
-		return stepReply{res: orderAnswer(arrival, strings.NewReader(fmt.Sprintf("ran for %d", arrival)))}
+		return stepReply{res: responseOf(arrival, strings.NewReader(fmt.Sprintf("ran for %d", arrival)))}
 	}
 }
 
@@ -161,7 +160,7 @@
 
 func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
-func orderAnswer(arrival int, body io.Reader) *http.Response {
+func responseOf(arrival int, body io.Reader) *http.Response {
 	return &http.Response{
 		StatusCode: http.StatusCreated, ContentLength: -1,
 		Header: http.Header{"Arrival": {fmt.Sprint(arrival)}}, Body: io.NopCloser(body),
@@ -196,14 +195,12 @@
 		{Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:2"), AvailabilityZone: "a", Slots: 2, Generation: 1},
 		{Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:3"), AvailabilityZone: "a", Slots: 2, Generation: 1},
 	}}}
-	config := state.NewConfiguration()
 	d := &Dispatcher{
-		Balancer: &Balancer{
-			Members: func() *membership.View { return view }, Configuration: func() *state.Configuration { return config },
-			Place: balance.Place{AvailabilityZone: "a", Regions: map[string]string{"a": "north"}},
-			Loads: balance.NewLoads(balance.Options{Self: "e", Live: func() []string { return []string{"e"} }}, time.Now()),
-		},
 		Exchanger: entryOf{w, arrival}, Claims: entryOf{w, arrival}, Retries: limit.NewRetryBudget(),
+		Balancer: &RoundRobin{
+			Members: func() *membership.View { return view }, Configuration: state.NewConfiguration,
+			Regions: map[string]string{"a": "north"},
+		},
 	}
 	r := &request.Request{
 		ID: fmt.Sprint(arrival), Service: state.Service{Name: "s"}, Account: "a", Key: "k",
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -33,6 +33,9 @@
 	Configuration func() *state.Configuration
 	// Place is where the entry stands.
 	Place balance.Place
+	// Returned says when availability zones that were out came back; nil means
+	// that none was out.
+	Returned func() map[string]time.Time
 	// Loads are the requests in progress.
 	Loads *balance.Loads
 
@@ -66,8 +69,12 @@
 	if have != nil && have.view == view && have.config == config {
 		return have
 	}
+	place := b.Place
+	if b.Returned != nil {
+		place.Returned = b.Returned()
+	}
 	next := &choices{
-		Choices: balance.NewChoices(b.Loads, view, config, b.Place, time.Now()),
+		Choices: balance.NewChoices(b.Loads, view, config, place, time.Now()),
 		view:    view, config: config,
 	}
 	b.current.Store(next)
@@ -76,11 +83,11 @@
 
 // start chooses a backend server and counts the request on it. full is true if
 // there are backend servers, all of them at their limits.
-func (b *Balancer) start(r *request.Request, tried []netip.AddrPort) (started balance.Started, ok, full bool) {
+func (b *Balancer) start(r *request.Request, tried []netip.AddrPort, waiting int) (started balance.Started, ok, full bool) {
 	all := b.choices()
 	for range startTries {
 		s, full := all.Pick(r.Service.Name, balance.Query{
-			Now: time.Now().UnixNano(), Random: rand.Uint64(),
+			Now: time.Now().UnixNano(), Random: rand.Uint64(), Waiting: waiting,
 			HomeRegions: r.HomeRegions, Tried: tried,
 		})
 		if s == nil {
@@ -98,7 +105,7 @@
 // returns errNoServer.
 func (b *Balancer) Reserve(ctx context.Context, r *request.Request, tried []netip.AddrPort) (balance.Started, error) {
 	if b.waitersOf(r.Service.Name) == 0 {
-		started, ok, full := b.start(r, tried)
+		started, ok, full := b.start(r, tried, 0)
 		if ok {
 			return started, nil
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"tanagerbarrow/access"
 	"tanagerbarrow/backend"
+	"tanagerbarrow/balance"
 	"tanagerbarrow/caller"
 	"tanagerbarrow/dispatch"
 	"tanagerbarrow/limit"
@@ -20,6 +21,7 @@
 	"tanagerbarrow/peer"
 	"tanagerbarrow/platform"
 	"tanagerbarrow/settings"
+	"tanagerbarrow/state"
 	"tanagerbarrow/telemetry"
 )
 
@@ -31,8 +33,8 @@
 	reasonCutOff          = "cut off"
 )
 
-// expiryPeriod is the time between searches for ended leases.
-const expiryPeriod = 200 * time.Millisecond
+// handOverTimeout bounds the handing over of leases when the entry stops.
+const handOverTimeout = 2 * time.Second
 
 // Entry is one entry process.
 type Entry struct {
@@ -40,9 +42,10 @@
 	log       zerolog.Logger
 	metrics   *telemetry.Metrics
 	ready     *platform.Readiness
-	table     *membership.Table
+	links     links
+	members   *membership.Node
 	follower  *follower
-	spreader  *spreader
+	returns   balance.Returns
 	balancer  *dispatch.Balancer
 	sharer    *loadSharer
 	peers     *peer.Server
@@ -63,20 +66,22 @@
 		settings: s, log: log,
 		metrics: telemetry.NewMetrics(),
 		ready:   platform.NewReadiness(reasonNoConfiguration),
-		table:   membership.NewTable(s.Limits.LeaseDuration),
+		links:   newLinks(s),
 	}
+	e.members = newNode(s, e.links)
 	controls := clients(s, s.ControlHosts)
 	e.follower = newFollower(s, controls, clients(s, s.EntryHosts), log)
-	e.follower.applied, e.follower.cutOff, e.follower.members = e.configurationApplied, e.cutOff, e.table.View
+	e.follower.prepare = func(c *state.Configuration) { e.returns.Apply(c.ZonesOut, time.Now()) }
+	e.follower.applied, e.follower.cutOff = e.configurationApplied, e.cutOff
+	e.follower.members = e.members.Table().View
 	if err := e.follower.openStore(s.Entry.DataFolder); err != nil {
 		return nil, err
 	}
 	e.follower.measure(e.metrics.Set)
-	e.spreader = newSpreader(clients(s, s.EntryHosts), log)
 	e.peers = peer.NewServer(s.Access.PeerKey, log)
 	e.peers.UseTLS(secure.PeerServer())
 	e.peers.CountIn(e.metrics.Set)
-	e.peers.Handle(peer.MethodMembers, peer.Typed(e.members))
+	handleMembership(e.peers, e.members)
 	e.balancer = e.newBalancer()
 	e.sharer = newLoadSharer(s, e.balancer, e.metrics)
 	e.peers.Handle(peer.MethodLoad, peer.Typed(e.sharer.accept))
@@ -100,10 +105,10 @@
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
 	e.dispatcher = &dispatch.Dispatcher{
-		Exchanger: backend.NewExchanger(),
+		Exchanger: e.newExchanger(),
 		Claims:    newClaims(e.settings.Regions, controls),
 		Retries:   limit.NewRetryBudget(),
-		Balancer:  e.balancer,
+		Balancer:  e.picker(),
 	}
 	front := &caller.Front{
 		Configuration:  e.follower.serving,
@@ -120,15 +125,23 @@
 	return routes
 }
 
+// newExchanger returns an exchanger that notes backend servers that leave.
+func (e *Entry) newExchanger() *backend.Exchanger {
+	x := backend.NewExchanger()
+	x.Leaving = e.members.Leave
+	return x
+}
+
 // adminRoutes returns the routes for backend servers and the platform.
 func (e *Entry) adminRoutes() *echo.Echo {
 	routes := platform.NewEcho()
 	intake := &backend.Intake{
 		Key: e.settings.Access.AnnounceKey, Regions: e.settings.Regions,
-		Table: e.table, Accepted: e.spreader.push,
+		Announce: e.members.Announce,
 	}
 	intake.Register(routes)
 	e.ready.Register(routes)
+	routes.GET(MembersPath, e.listMembers)
 	routes.GET("/metrics", func(c echo.Context) error {
 		e.metrics.Write(c.Response())
 		return nil
@@ -145,9 +158,8 @@
 	g.Go(e.admin.Serve)
 	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
 	g.Go(func() error { return e.follower.run(work) })
-	g.Go(func() error { return e.spreader.run(work) })
+	g.Go(func() error { return e.members.Run(work) })
 	g.Go(func() error { return e.sharer.run(work) })
-	g.Go(func() error { return e.expire(work) })
 	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
 	<-ctx.Done()
 	err := e.shutdown()
@@ -155,46 +167,27 @@
 	return errors.CombineErrors(err, g.Wait())
 }
 
-// shutdown turns unready, finishes requests in progress and closes listeners.
+// shutdown stops gracefully: it turns unready, hands the leases over, tells
+// kept-alive connections to close, gives the platform's balancer time to see it,
+// finishes requests in progress and closes listeners.
 func (e *Entry) shutdown() error {
 	e.ready.Set(reasonStopping, true)
-	err := e.callers.Shutdown(e.settings.Limits.DrainTimeout)
+	e.callers.CloseKeptAlive(true)
+	delay := time.After(e.settings.Limits.StopDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	err := e.members.HandOver(ctx)
+	<-delay
+	err = errors.CombineErrors(err, e.callers.Shutdown(e.settings.Limits.DrainTimeout))
 	e.dispatcher.Drain()
 	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.peerLinks.Close())
 	e.peers.Close()
+	e.links.close()
 	e.log.Info().Err(err).Msg("entry stopped")
 	return err
 }
 
-// expire drops ended leases.
-func (e *Entry) expire(ctx context.Context) error {
-	tick := time.NewTicker(expiryPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			e.table.Expire(now)
-		}
-	}
-}
-
-// members takes records of another entry in.
-func (e *Entry) members(_ context.Context, m peer.Members) (peer.Empty, error) {
-	now := time.Now()
-	for _, b := range m.Servers {
-		if err := b.Check(e.settings.Regions); err != nil {
-			return peer.Empty{}, err
-		}
-		if err := e.table.Put(b, now); err != nil && !errors.Is(err, membership.ErrOldGeneration) {
-			return peer.Empty{}, err
-		}
-	}
-	return peer.Empty{}, nil
-}
-
 // homeEntries returns the peer addresses' hosts of entries in the regions.
 func (e *Entry) homeEntries(regions []string) []string {
 	var found []string
--- a/peer/message.go
+++ b/peer/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"tanagerbarrow/ledger"
-	"tanagerbarrow/membership"
 	"tanagerbarrow/state"
 )
 
@@ -16,8 +15,6 @@
 	MethodHosts = "hosts.list"
 	// MethodLedger carries out a ledger command.
 	MethodLedger = "ledger.apply"
-	// MethodMembers tells another entry of backend servers.
-	MethodMembers = "membership.push"
 )
 
 // Hello presents a process to its peer.
@@ -60,10 +57,15 @@
 	FreshMillisecondsAgo int64 `json:"fresh_ago"`
 }
 
-// Hosts is what one control host heard of the entry hosts.
+// Hosts is what one control host knows of itself and the entry hosts.
 type Hosts struct {
 	// Heard are the entry hosts.
 	Heard []HostHeard `json:"heard,omitempty"`
+	// Version is the newest version that the control host itself holds.
+	Version uint64 `json:"version"`
+	// ProofMillisecondsAgo is the age of its proof of touch with the quorum, in
+	// milliseconds.
+	ProofMillisecondsAgo int64 `json:"proof_ago"`
 	// Capacity merges what those heard lately reported.
 	Capacity state.CapacityReport `json:"capacity"`
 }
@@ -78,12 +80,6 @@
 	MillisecondsAgo int64 `json:"ago"`
 }
 
-// Members tells of backend servers.
-type Members struct {
-	// Servers are the records of the telling host.
-	Servers []membership.BackendServer `json:"servers"`
-}
-
 // LedgerCommand is a ledger command on its way to the voters.
 type LedgerCommand struct {
 	// Group is the name of the ledger group, see [ledger.GroupOf].
