Elect the founder and a lone voter at once

A new group waited for an election timeout of 1.2 to 2.4 s before its first leader, and so did every start of a single voter. A lone voter now campaigns at its first tick, and a founder when it founds.

--- a/consensus/fakes_test.go
+++ b/consensus/fakes_test.go
@@ -103,14 +103,34 @@
 func (g *group) addSpare() {
 	g.t.Helper()
 	leader := g.leader()
+	p := g.startSpare()
+	if err := leader.node.Change(g.t.Context(), Change{Kind: AddReplica, Name: p.name, Address: p.name}); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// startSpare starts one more host.
+func (g *group) startSpare() *process {
+	g.t.Helper()
 	p := &process{name: fmt.Sprintf("control-%d", len(g.processes)+1), disk: waltest.New()}
 	g.mu.Lock()
 	g.processes = append(g.processes, p)
 	g.mu.Unlock()
 	g.start(p)
-	if err := leader.node.Change(g.t.Context(), Change{Kind: AddReplica, Name: p.name, Address: p.name}); err != nil {
-		g.t.Fatal(err)
-	}
+	return p
+}
+
+// countSyncs counts the syncs on a process's disk.
+func countSyncs(p *process) *atomic.Int64 {
+	var syncs atomic.Int64
+	p.disk.SetHook(func(op waltest.Op, _ string, after bool) error {
+		if op == waltest.OpSync && after {
+			syncs.Add(1)
+			time.Sleep(time.Millisecond)
+		}
+		return nil
+	})
+	return &syncs
 }
 
 // start starts a process from its disk.
--- a/consensus/raft/core.go
+++ b/consensus/raft/core.go
@@ -77,7 +77,7 @@
 	return c
 }
 
-// Found makes the first entry of a new group. The replica must be empty, and
+// Found makes the first entry of a new group and campaigns. The replica must be empty, and
 // no other replica of the group may hold anything.
 func (c *Core) Found(m Membership) {
 	if c.log.last().Index > 0 || c.term > 0 {
@@ -85,6 +85,7 @@
 	}
 	c.term = 1
 	c.log.append(Entry{Index: 1, Term: 1, Type: EntryMembership, Membership: &m})
+	c.campaign(PreCandidate, false)
 }
 
 // Role returns what the replica does.
@@ -138,7 +139,8 @@
 		c.tickLeader()
 		return
 	}
-	if c.elapsed >= c.timeout && c.mayCampaign() {
+	alone := len(c.members().Voters) == 1 && c.members().IsVoter(c.id)
+	if (c.elapsed >= c.timeout || alone) && c.mayCampaign() {
 		c.campaign(PreCandidate, false)
 	}
 }
