--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
@@ -12,6 +13,7 @@
 
 	"tanagerbarrow/access"
 	"tanagerbarrow/backend"
+	"tanagerbarrow/balance"
 	"tanagerbarrow/caller"
 	"tanagerbarrow/dispatch"
 	"tanagerbarrow/limit"
@@ -19,6 +21,7 @@
 	"tanagerbarrow/peer"
 	"tanagerbarrow/platform"
 	"tanagerbarrow/settings"
+	"tanagerbarrow/state"
 	"tanagerbarrow/telemetry"
 )
 
@@ -30,6 +33,9 @@
 	reasonCutOff          = "cut off"
 )
 
+// handOverTimeout bounds the handing over of leases when the entry stops.
+const handOverTimeout = 2 * time.Second
+
 // Entry is one entry process.
 type Entry struct {
 	settings  *settings.Settings
@@ -39,6 +45,7 @@
 	links     links
 	members   *membership.Node
 	follower  *follower
+	returns   balance.Returns
 	balancer  *dispatch.Balancer
 	sharer    *loadSharer
 	peers     *peer.Server
@@ -64,7 +71,9 @@
 	e.members = newNode(s, e.links)
 	controls := clients(s, s.ControlHosts)
 	e.follower = newFollower(s, controls, clients(s, s.EntryHosts), log)
-	e.follower.applied, e.follower.cutOff, e.follower.members = e.configurationApplied, e.cutOff, e.members.Table().View
+	e.follower.prepare = func(c *state.Configuration) { e.returns.Apply(c.ZonesOut, time.Now()) }
+	e.follower.applied, e.follower.cutOff = e.configurationApplied, e.cutOff
+	e.follower.members = e.members.Table().View
 	if err := e.follower.openStore(s.Entry.DataFolder); err != nil {
 		return nil, err
 	}
@@ -96,7 +105,7 @@
 // callerRoutes returns the front for callers.
 func (e *Entry) callerRoutes(controls []*peer.Client) *echo.Echo {
 	e.dispatcher = &dispatch.Dispatcher{
-		Exchanger: backend.NewExchanger(),
+		Exchanger: e.newExchanger(),
 		Claims:    newClaims(e.settings.Regions, controls),
 		Retries:   limit.NewRetryBudget(),
 		Balancer:  e.picker(),
@@ -116,6 +125,13 @@
 	return routes
 }
 
+// newExchanger returns an exchanger that notes backend servers that leave.
+func (e *Entry) newExchanger() *backend.Exchanger {
+	x := backend.NewExchanger()
+	x.Leaving = e.members.Leave
+	return x
+}
+
 // adminRoutes returns the routes for backend servers and the platform.
 func (e *Entry) adminRoutes() *echo.Echo {
 	routes := platform.NewEcho()
@@ -125,6 +141,7 @@
 	}
 	intake.Register(routes)
 	e.ready.Register(routes)
+	routes.GET(MembersPath, e.listMembers)
 	routes.GET("/metrics", func(c echo.Context) error {
 		e.metrics.Write(c.Response())
 		return nil
@@ -150,10 +167,18 @@
 	return errors.CombineErrors(err, g.Wait())
 }
 
-// shutdown turns unready, finishes requests in progress and closes listeners.
+// shutdown stops gracefully: it turns unready, hands the leases over, tells
+// kept-alive connections to close, gives the platform's balancer time to see it,
+// finishes requests in progress and closes listeners.
 func (e *Entry) shutdown() error {
 	e.ready.Set(reasonStopping, true)
-	err := e.callers.Shutdown(e.settings.Limits.DrainTimeout)
+	e.callers.CloseKeptAlive(true)
+	delay := time.After(e.settings.Limits.StopDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	err := e.members.HandOver(ctx)
+	<-delay
+	err = errors.CombineErrors(err, e.callers.Shutdown(e.settings.Limits.DrainTimeout))
 	e.dispatcher.Drain()
 	err = errors.CombineErrors(err, e.admin.Shutdown(e.settings.Limits.DrainTimeout))
 	err = errors.CombineErrors(err, e.peerLinks.Close())
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -35,9 +35,10 @@
 	feed     *state.Feed
 	touch    *touch
 	store    *store
-	applied  func(*state.Configuration)
-	cutOff   func(bool)
-	members  func() *membership.View
+	// prepare runs before a configuration is in force, applied after it.
+	prepare, applied func(*state.Configuration)
+	cutOff           func(bool)
+	members          func() *membership.View
 
 	// mu orders the accepting of updates.
 	mu sync.Mutex
@@ -48,6 +49,7 @@
 func newFollower(s *settings.Settings, controls, relays []*peer.Client, log zerolog.Logger) *follower {
 	f := &follower{
 		host: s.Host.Name, controls: startAt(controls, s.Host.Name), log: log, feed: state.NewFeed(),
+		prepare: func(*state.Configuration) {}, applied: func(*state.Configuration) {},
 		touch: &touch{maxAge: s.Entry.MaxConfigurationAge, hasRelays: len(relays) > 0},
 	}
 	var far []*peer.Client
@@ -190,6 +192,7 @@
 	if err := f.store.save(next); err != nil {
 		f.log.Error().Err(err).Msg("the configuration in force is not on disk")
 	}
+	f.prepare(next)
 	f.feed.Advance(next)
 	f.log.Info().Uint64("version", next.Version).Msg("configuration in force")
 	f.applied(next)
@@ -214,7 +217,9 @@
 // configurationApplied updates readiness after a change.
 func (e *Entry) configurationApplied(c *state.Configuration) {
 	e.ready.Set(reasonNoConfiguration, false)
-	e.ready.Set(reasonZoneOut, c.ZonesOut[e.settings.Host.AvailabilityZone])
+	out := c.ZonesOut[e.settings.Host.AvailabilityZone]
+	e.ready.Set(reasonZoneOut, out)
+	e.callers.CloseKeptAlive(out)
 }
 
 // cutOff updates readiness when this entry is cut off or back in touch.
--- a/operator/api.go
+++ b/operator/api.go
@@ -92,9 +92,25 @@
 			s.Hosts[h.Host] = h.Version
 		}
 	}
+	s.Held = a.held()
 	return c.JSON(http.StatusOK, s)
 }
 
+// held returns the backend servers of services that are not admitted.
+func (a *API) held() []state.CapacityRow {
+	if a.Capacity == nil {
+		return nil
+	}
+	var rows []state.CapacityRow
+	admitted := a.Machine.Configuration().Services
+	for _, row := range a.Capacity.Report().Rows {
+		if _, ok := admitted[row.Service]; !ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // configuration returns the newest accepted configuration.
 func (a *API) configuration(c echo.Context) error {
 	if err := a.barrier(c); err != nil {
