Let operators plan changes of the control replicas

tanagerctl replicas shows the groups; tanagerctl replica add, remove and replace give a plan with voters and survived losses before and after, and carry it out when its digest is confirmed on the same members.

--- a/cmd/tanagerctl/main.go
+++ b/cmd/tanagerctl/main.go
@@ -56,6 +56,7 @@
 	app.Flag("json", "Print JSON in place of tables.").BoolVar(&o.json)
 	commands := intentCommands(app)
 	commands = append(commands, viewCommands(app)...)
+	commands = append(commands, replicaCommands(app)...)
 
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -44,6 +44,8 @@
 type Options struct {
 	// Group is the group's name.
 	Group string
+	// Regional says that all members stand in one region.
+	Regional bool
 	// Name is this host's name among Hosts.
 	Name string
 	// Hosts are the hosts that the settings list for the group, with name and
--- a/consensus/replicator.go
+++ b/consensus/replicator.go
@@ -36,6 +36,8 @@
 type Status struct {
 	// Group is the name of the replicated group.
 	Group string `json:"group"`
+	// Regional says that all members stand in one region.
+	Regional bool `json:"regional,omitempty"`
 	// ID is the replica's name.
 	ID string `json:"id"`
 	// Identity is the identity of the replica's disk.
--- a/consensus/serve.go
+++ b/consensus/serve.go
@@ -62,7 +62,7 @@
 // publish makes the replica's state readable for other goroutines.
 func (n *Node) publish() {
 	s := &Status{
-		Group: n.options.Group, ID: n.self.Name, Identity: n.self.ID,
+		Group: n.options.Group, Regional: n.options.Regional, ID: n.self.Name, Identity: n.self.ID,
 		Role: n.core.Role().String(), Term: n.core.Term(),
 		CommitIndex: n.core.Commit(), AppliedIndex: n.applied,
 		LeaderIdentity: n.core.LeaderID(), Members: n.core.Members(),
--- a/control/control.go
+++ b/control/control.go
@@ -58,7 +58,7 @@
 	api := &operator.API{
 		Key: s.Access.OperatorKey, Places: places, Machine: c.machine,
 		Replicator: c.config, Capacity: c.distribution, Hosts: c.distribution.hosts,
-		Metrics: c.metrics, Log: log,
+		Replicas: c.replicas, Metrics: c.metrics, Log: log,
 	}
 	routes := platform.NewEcho()
 	api.Register(routes)
--- a/control/replication.go
+++ b/control/replication.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -42,7 +43,7 @@
 	groups := []consensus.Options{
 		{Group: GroupConfiguration, Hosts: everywhere, Machine: machine},
 		{Group: ledger.CommonGroup, Hosts: everywhere, Machine: ledger.NewMachine()},
-		{Group: ledger.GroupOf(s.Region()), Hosts: members(s, s.Region()), Machine: ledger.NewMachine()},
+		{Group: ledger.GroupOf(s.Region()), Regional: true, Hosts: members(s, s.Region()), Machine: ledger.NewMachine()},
 	}
 	for _, o := range groups {
 		o.Name, o.FS, o.Transport, o.Log = s.Host.Name, wal.OS{}, r.transport, log
@@ -114,3 +115,21 @@
 	r.transport.Close()
 	return failures
 }
+
+// Statuses describes the process's replica of each group.
+func (r *replicas) Statuses() []consensus.Status {
+	var all []consensus.Status
+	for _, group := range r.order {
+		all = append(all, r.nodes[group].Status())
+	}
+	return all
+}
+
+// Change begins a membership change of a group.
+func (r *replicas) Change(ctx context.Context, group string, c consensus.Change) error {
+	n := r.nodes[group]
+	if n == nil {
+		return errors.Newf("this host has no replica of group %q", group)
+	}
+	return n.Change(ctx, c)
+}
--- a/operator/api.go
+++ b/operator/api.go
@@ -39,6 +39,9 @@
 	Capacity state.Capacity
 	// Hosts returns what all control hosts know of the entry hosts.
 	Hosts func(ctx context.Context) Hosts
+	// Replicas are the replicated groups of the process; nil leaves out their
+	// routes.
+	Replicas ReplicaGroups
 	// Metrics counts refusals and is served to operators.
 	Metrics *telemetry.Metrics
 	// Log receives the audit lines.
@@ -54,6 +57,9 @@
 	g.GET("/metrics", a.metrics)
 	g.POST("/plans", a.plan)
 	g.POST("/plans/:id/confirm", a.confirm)
+	if a.Replicas != nil {
+		a.registerReplicas(g)
+	}
 }
 
 // authorize lets in requests with the operator key.
