--- /dev/null
+++ b/bench/controlbench/doc.go
@@ -0,0 +1,3 @@
+// Package controlbench measures control processes: the latency of a commit, the
+// time of a restart, and what they use at rest.
+package controlbench
