--- a/consensus/node.go
+++ b/consensus/node.go
@@ -18,8 +18,8 @@
 // The times of a replica.
 const (
 	tickPeriod     = 50 * time.Millisecond
-	heartbeatTicks = 8
-	electionTicks  = 24
+	heartbeatTicks = 10
+	electionTicks  = 30
 	// changeTicks is the time between two looks at due membership changes.
 	changeTicks = 4
 )
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -47,6 +47,8 @@
 // read is a linearizable read; index is set if the leader has confirmed it.
 type read struct {
 	index uint64
+	// later says that the read may wait for a heartbeat.
+	later bool
 	done  chan outcome
 }
 
@@ -72,6 +74,16 @@
 	return n.await(ctx, out.index)
 }
 
+// Touch is a ReadBarrier that waits for the leader's next heartbeat and costs no
+// round of its own: a cheap proof of being in touch with the quorum.
+func (n *Node) Touch(ctx context.Context) error {
+	out := n.onLeader(ctx, Request{Group: n.options.Group, Kind: RequestTouch}, n.touchHere)
+	if out.err != nil {
+		return out.err
+	}
+	return n.await(ctx, out.index)
+}
+
 // onLeader carries out a request on the leader: here, or on the host that
 // leads. It tries again while it is proved that nothing was committed.
 func (n *Node) onLeader(ctx context.Context, r Request, here func(context.Context) outcome) outcome {
@@ -115,7 +127,7 @@
 	response, err := n.options.Transport.Call(ctx, to, r)
 	if err != nil {
 		v := verdict.MayHaveRun
-		if errors.Is(err, ErrNotConnected) || r.Kind == RequestRead {
+		if errors.Is(err, ErrNotConnected) || r.Kind == RequestRead || r.Kind == RequestTouch {
 			v = verdict.NotRun
 		}
 		return outcome{err: verdict.Wrap(err, v, http.StatusServiceUnavailable, codeUnknown,
@@ -161,6 +173,12 @@
 	return n.startRead(ctx, &read{done: make(chan outcome, 1)})
 }
 
+// touchHere asks the run goroutine for a read index that the next heartbeat
+// confirms.
+func (n *Node) touchHere(ctx context.Context) outcome {
+	return n.startRead(ctx, &read{later: true, done: make(chan outcome, 1)})
+}
+
 // await returns once the index is applied here.
 func (n *Node) await(ctx context.Context, index uint64) error {
 	return n.startRead(ctx, &read{index: index, done: make(chan outcome, 1)}).err
@@ -241,7 +259,11 @@
 		return
 	}
 	n.nextRead++
-	if !n.core.Read(n.nextRead) {
+	start := n.core.Read
+	if r.later {
+		start = n.core.ReadLater
+	}
+	if !start(n.nextRead) {
 		r.done <- outcome{err: n.noLeader()}
 		return
 	}
--- a/consensus/raft/core.go
+++ b/consensus/raft/core.go
@@ -58,6 +58,7 @@
 	readSeq       uint64
 	readBeat      bool
 	waitingReads  []uint64
+	laterReads    []uint64
 	pendingReads  []pendingRead
 	persistedHard HardState
 	installed     *Snapshot
--- a/consensus/raft/read.go
+++ b/consensus/raft/read.go
@@ -20,6 +20,16 @@
 	return true
 }
 
+// ReadLater starts a linearizable read that the next heartbeat confirms, so that
+// it costs no message of its own.
+func (c *Core) ReadLater(id uint64) bool {
+	if c.role != Leader {
+		return false
+	}
+	c.laterReads = append(c.laterReads, id)
+	return true
+}
+
 // startReads begins a round for the waiting reads. The commit index is known to
 // be current only once an entry of the term is committed.
 func (c *Core) startReads() {
@@ -63,8 +73,8 @@
 	for _, read := range c.pendingReads {
 		c.finishedReads = append(c.finishedReads, ReadResult{ID: read.id, Lost: true})
 	}
-	for _, id := range c.waitingReads {
+	for _, id := range append(c.waitingReads, c.laterReads...) {
 		c.finishedReads = append(c.finishedReads, ReadResult{ID: id, Lost: true})
 	}
-	c.pendingReads, c.waitingReads = nil, nil
+	c.pendingReads, c.waitingReads, c.laterReads = nil, nil, nil
 }
--- a/consensus/raft/replication.go
+++ b/consensus/raft/replication.go
@@ -158,6 +158,8 @@
 
 // broadcastHeartbeat sends a heartbeat to every member.
 func (c *Core) broadcastHeartbeat() {
+	c.waitingReads, c.laterReads = append(c.waitingReads, c.laterReads...), nil
+	c.startReads()
 	c.heartbeatElapsed, c.readBeat = 0, false
 	for _, m := range c.members().All() {
 		if p := c.progress[m.ID]; p != nil {
--- a/consensus/raft/sim_test.go
+++ b/consensus/raft/sim_test.go
@@ -281,7 +281,11 @@
 		return
 	}
 	c.reads[id] = readCheck{floor: c.highest}
-	if !r.core.Read(id) {
+	start := r.core.Read
+	if id%2 == 1 {
+		start = r.core.ReadLater
+	}
+	if !start(id) {
 		delete(c.reads, id)
 	}
 	c.handle(r, crashNever)
--- a/consensus/serve.go
+++ b/consensus/serve.go
@@ -36,6 +36,9 @@
 	case RequestRead:
 		o := n.readHere(ctx)
 		out.Index, err = o.index, o.err
+	case RequestTouch:
+		o := n.touchHere(ctx)
+		out.Index, err = o.index, o.err
 	case RequestIdentify:
 		out.Self, out.Formed = n.self, len(n.Status().Members.All()) > 0
 	case RequestJoin:
--- a/consensus/transport.go
+++ b/consensus/transport.go
@@ -41,6 +41,8 @@
 	RequestPropose RequestKind = "propose"
 	// RequestRead asks the leader for a linearizable read index.
 	RequestRead RequestKind = "read"
+	// RequestTouch is RequestRead that waits for the leader's next heartbeat.
+	RequestTouch RequestKind = "touch"
 	// RequestIdentify asks a replica for its identity.
 	RequestIdentify RequestKind = "identify"
 	// RequestJoin asks the leader to admit a replica whose disk is empty.
--- a/control/distribution.go
+++ b/control/distribution.go
@@ -78,7 +78,7 @@
 	tick := time.NewTicker(quorumPeriod)
 	defer tick.Stop()
 	for {
-		if err := d.prove(ctx); err != nil && ctx.Err() == nil {
+		if err := d.prove(ctx, d.touch); err != nil && ctx.Err() == nil {
 			d.log.Warn().Err(err).Msg("out of touch with the quorum")
 		}
 		select {
@@ -92,13 +92,13 @@
 	}
 }
 
-// prove reads through the quorum once. Everything committed before then is in
+// prove reads through the quorum once, in the given way. Everything committed before then is in
 // the feed afterwards.
-func (d *distribution) prove(ctx context.Context) error {
+func (d *distribution) prove(ctx context.Context, read func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, quorumPeriod)
 	defer cancel()
 	begin := time.Now()
-	if err := d.config.ReadBarrier(ctx); err != nil {
+	if err := read(ctx); err != nil {
 		return err
 	}
 	d.mu.Lock()
@@ -107,6 +107,15 @@
 	return nil
 }
 
+// touch reads through the quorum, at the leader's next heartbeat if the
+// replicated log can wait for it.
+func (d *distribution) touch(ctx context.Context) error {
+	if node, ok := d.config.(interface{ Touch(context.Context) error }); ok {
+		return node.Touch(ctx)
+	}
+	return d.config.ReadBarrier(ctx)
+}
+
 // proofAge returns the time since the last proof of touch with the quorum.
 func (d *distribution) proofAge() time.Duration {
 	d.mu.Lock()
@@ -120,7 +129,7 @@
 func (d *distribution) watch(ctx context.Context, w peer.Watch) (peer.Watched, error) {
 	d.note(w)
 	if !w.Known {
-		if err := d.prove(ctx); err != nil {
+		if err := d.prove(ctx, d.config.ReadBarrier); err != nil {
 			return peer.Watched{}, err
 		}
 	}
