--- a/consensus/node.go
+++ b/consensus/node.go
@@ -288,9 +288,20 @@
 
 // find returns a member or another replica that sent messages.
 func (n *Node) find(id raft.ReplicaID) (raft.Member, bool) {
-	if m, ok := n.core.Members().Find(id); ok {
-		return m, true
+	m, ok := n.core.Members().Find(id)
+	if !ok {
+		m, ok = n.contacts[id]
 	}
-	m, ok := n.contacts[id]
-	return m, ok
+	return n.listed(m), ok
+}
+
+// listed returns a member with the address that the settings list for its host,
+// which may be newer than the one in the log.
+func (n *Node) listed(m raft.Member) raft.Member {
+	for _, h := range n.options.Hosts {
+		if h.Name == m.Name {
+			m.Address = h.Address
+		}
+	}
+	return m
 }
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -116,7 +116,7 @@
 	}
 	for _, m := range status.Members.All() {
 		if m.ID == status.LeaderIdentity {
-			return n.forward(ctx, m, r)
+			return n.forward(ctx, n.listed(m), r)
 		}
 	}
 	return outcome{err: n.noLeader()}
