Let an honest peer outlive a crowd of unknown connections

With 256 connections that had not said hello the next one was turned away, so 256 silent ones every 3 s from one sender kept honest peers out. Now the oldest unknown one is closed: a peer that presents its key at once stays.

--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,9 +43,11 @@
 	tls     *tls.Config
 	metrics *metrics.Set
 
-	mu      sync.Mutex
-	conns   map[*jsonrpc2.Conn]bool
-	unknown int
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]bool
+	// unknown are the connections that have not presented the key, the oldest
+	// first.
+	unknown []*session
 }
 
 // NewServer returns a server that lets in callers with the key.
@@ -88,39 +91,55 @@
 }
 
 // attach serves one connection in the background. It is closed if it does not
-// present the key in time, or at once if too many others have not.
+// present the key in time, or before too many others have not either.
 func (s *Server) attach(ctx context.Context, conn net.Conn) {
 	if s.tls != nil {
 		conn = tls.Server(conn, s.tls)
 	}
 	conn = metered(conn, s.metrics)
-	session := &session{server: s, remote: conn.RemoteAddr().String()}
-	s.mu.Lock()
-	if s.unknown >= maxUnknown {
-		s.mu.Unlock()
-		_ = conn.Close()
-		session.refused(access.TooManyUnknown, "")
-		return
+	session := &session{server: s, remote: conn.RemoteAddr().String(), conn: conn}
+	if crowded := s.admit(session); crowded != nil {
+		crowded.expire(access.TooManyUnknown)
 	}
-	s.unknown++
-	s.mu.Unlock()
 	stream := jsonrpc2.NewBufferedStream(conn, codec{limit: session.limit})
 	handler := newOrderedHandler(s, jsonrpc2.HandlerWithError(session.handle).SuppressErrClosed())
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(silent{}))
 	s.mu.Lock()
 	s.conns[rpc] = true
 	s.mu.Unlock()
-	timer := time.AfterFunc(helloTimeout, func() { session.expire(conn) })
+	timer := time.AfterFunc(helloTimeout, func() { session.expire(access.NoHello) })
 	go func() {
 		<-rpc.DisconnectNotify()
 		timer.Stop()
-		session.settle()
+		s.settle(session)
 		s.mu.Lock()
 		delete(s.conns, rpc)
 		s.mu.Unlock()
 	}()
 }
 
+// admit notes an unknown connection. It returns the oldest one if there are too
+// many: an honest peer presents its key at once, and so outlives a crowd of
+// others.
+func (s *Server) admit(c *session) (crowded *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.unknown) >= maxUnknown {
+		crowded, s.unknown = s.unknown[0], s.unknown[1:]
+	}
+	s.unknown = append(s.unknown, c)
+	return crowded
+}
+
+// settle takes a connection out of the unknown ones.
+func (s *Server) settle(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := slices.Index(s.unknown, c); at >= 0 {
+		s.unknown = slices.Delete(s.unknown, at, at+1)
+	}
+}
+
 // Close closes every open connection.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/peer/session.go
+++ b/peer/session.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,7 +19,7 @@
 	remote  string
 	trusted atomic.Bool
 	closing atomic.Bool
-	settled sync.Once
+	conn    net.Conn
 }
 
 // limit returns the bound of the next message, in bytes.
@@ -60,7 +59,7 @@
 		return nil, c.refuse(conn, access.WhyRefused(h.Key), h.Host, "wrong or missing peer key")
 	}
 	c.trusted.Store(true)
-	c.settle()
+	c.server.settle(c)
 	return Empty{}, nil
 }
 
@@ -74,22 +73,13 @@
 	return &jsonrpc2.Error{Code: codeUnauthorized, Message: message}
 }
 
-// settle takes the connection out of the count of unknown ones.
-func (c *session) settle() {
-	c.settled.Do(func() {
-		c.server.mu.Lock()
-		defer c.server.mu.Unlock()
-		c.server.unknown--
-	})
-}
-
 // expire closes the connection if it has not presented the key.
-func (c *session) expire(conn net.Conn) {
-	if c.trusted.Load() || c.closing.Load() {
+func (c *session) expire(why access.Reason) {
+	if c.trusted.Load() || c.closing.Swap(true) {
 		return
 	}
-	c.refused(access.NoHello, "")
-	_ = conn.Close()
+	c.refused(why, "")
+	_ = c.conn.Close()
 }
 
 // refused logs and counts a refusal. The name is what the peer claims.
