--- a/balance/choices.go
+++ b/balance/choices.go
@@ -157,7 +157,7 @@
 	if p.nearCost(s.usual.share.Load()) > s.farHop() {
 		p.look(s.far, farLooked, unknownLoad)
 	}
-	if p.best == nil && p.ejected {
+	if p.best == nil && p.ejected && !p.full {
 		p.healthy = false
 		p.look(s.near, nearLooked, 0)
 		p.look(s.far, farLooked, unknownLoad)
--- a/bench/cmd/policy/main.go
+++ b/bench/cmd/policy/main.go
@@ -30,6 +30,7 @@
 		fmt.Fprintln(os.Stderr, "policy:", err)
 		os.Exit(1)
 	}
+	s.summary(os.Stdout)
 	s.print(os.Stdout)
 	if *plots == "" {
 		return
--- a/limit/concurrency.go
+++ b/limit/concurrency.go
@@ -2,10 +2,10 @@
 
 import "sync/atomic"
 
-// The limits of a backend server, as multiples of its slots. One waiting
-// request for each slot hides the delay of the counts that entries exchange.
+// The limits of a backend server, as multiples of its slots. Two waiting
+// requests for each slot hide the delay of the counts that entries exchange.
 const (
-	maxPerSlot = 2
+	maxPerSlot = 3
 	// milli is the unit of the stored limit.
 	milli = 1000
 	// shrinkMilli multiplies the limit after a refusal.
