--- a/balance/choices.go
+++ b/balance/choices.go
@@ -47,6 +47,8 @@
 	Regions map[string]string
 	// Hops are the round trips from here.
 	Hops Hops
+	// Returned says when availability zones that were out came back.
+	Returned map[string]time.Time
 }
 
 // Choices are the backend servers among which an entry chooses, for one view of
@@ -67,7 +69,9 @@
 	server *Server
 	region string
 	hop    int64 // nanoseconds
-	spill  bool  // this entry may use it while its own region still works
+	// returned is when the zone came back, in nanoseconds of Unix time, or zero.
+	returned int64
+	spill    bool // this entry may use it while its own region still works
 }
 
 // NewChoices returns the choices of an entry at the place. Availability zones
@@ -106,6 +110,9 @@
 func (s *service) add(b *Server, at Place, spill bool) {
 	zone := b.Record.AvailabilityZone
 	c := candidate{server: b, region: at.Regions[zone], spill: spill}
+	if since, ok := at.Returned[zone]; ok {
+		c.returned = since.UnixNano()
+	}
 	switch {
 	case zone == at.AvailabilityZone:
 		s.near = append(s.near, c)
@@ -157,6 +164,11 @@
 	if p.nearCost(s.usual.share.Load()) > s.farHop() {
 		p.look(s.far, farLooked, unknownLoad)
 	}
+	if p.best == nil && p.ramping && !p.full {
+		p.whole = true
+		p.look(s.near, nearLooked, 0)
+		p.look(s.far, farLooked, unknownLoad)
+	}
 	if p.best == nil && p.ejected && !p.full {
 		p.healthy = false
 		p.look(s.near, nearLooked, 0)
@@ -195,6 +207,9 @@
 	cost           int64
 	full, ejected  bool
 	fullCost       int64 // the lowest cost of those at their limits
+	// ramping says that the ramp of a returned zone kept backend servers out,
+	// whole that it no longer does.
+	ramping, whole bool
 }
 
 // nearCost returns the cost of the best choice so far. If it must be waited for,
@@ -238,6 +253,10 @@
 	if !p.query.allows(c) {
 		return false
 	}
+	if c.returned > 0 && !p.whole && !rampAdmits(p.query.Now-c.returned, p.query.Random) {
+		p.ramping = true
+		return false
+	}
 	s := c.server
 	if p.healthy && s.Ejection.Ejected(p.query.Now) {
 		p.ejected = true
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -59,8 +59,9 @@
 	sent     time.Duration
 	server   int
 	done     bool
-	owner    int  // the entry that counts it, where it is not entry
-	instant  bool // it came without delay; the way is added to the answer
+	twin     *request // its hedge, or the request that it hedges
+	owner    int      // the entry that counts it, where it is not entry
+	instant  bool     // it came without delay; the way is added to the answer
 }
 
 // Policy chooses backend servers for all entries of a run. Its methods are
@@ -193,7 +194,7 @@
 
 // finish records the end of a request.
 func (w *World) finish(r *request, a answer) {
-	if r.done {
+	if r.done || r.twin != nil && r.twin.done {
 		return
 	}
 	r.done = true
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,8 +18,15 @@
 	"tanagerbarrow/verdict"
 )
 
-// maxAttempts bounds the backend servers that one request is sent to.
-const maxAttempts = 3
+// The bounds of one request's tries.
+const (
+	// maxAttempts bounds the backend servers that one request is sent to.
+	maxAttempts = 3
+	// maxDialFailures bounds the backend servers that one request finds
+	// unreachable. It is larger, because nothing was sent to them, and the
+	// servers of a whole availability zone may have gone at once.
+	maxDialFailures = 8
+)
 
 // maxIdle bounds how long a connection was idle before it carries a request
 // that is not idempotent: such a request can't be sent again where it turns out
@@ -78,12 +85,13 @@
 }
 
 // attempts sends the request to one backend server after another until one
-// answers or a failure forbids a retry.
+// answers or a failure forbids a retry. A failed dial costs nothing of the retry
+// budget.
 func (d *Dispatcher) attempts(ctx context.Context, r *request.Request, h *http.Request, body body) (*http.Response, error) {
 	d.Retries.Request()
 	var tried []netip.AddrPort
 	var last error
-	for range maxAttempts {
+	for sent, unreachable := 0, 0; sent < maxAttempts && unreachable < maxDialFailures; {
 		started, err := d.Balancer.Reserve(ctx, r, tried)
 		if err != nil {
 			last = d.reserveError(r, err, last)
@@ -98,7 +106,15 @@
 		if !backend.ConnectionAtFault(err) {
 			tried = append(tried, to)
 		}
-		if ctx.Err() != nil || !mayRetry(r, err, body) || !d.Retries.Retry() {
+		if ctx.Err() != nil || !mayRetry(r, err, body) {
+			break
+		}
+		if verdict.As(err).Code == backend.CodeDialFailed {
+			unreachable++
+			continue
+		}
+		sent++
+		if !d.Retries.Retry() {
 			break
 		}
 	}
