--- a/bench/policy/server.go
+++ b/bench/policy/server.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The behaviour of fake servers.
 const (
@@ -129,6 +132,21 @@
 	}
 }
 
+// cancel drops a request that nobody waits for any more.
+func (s *server) cancel(r *request) {
+	if at := slices.Index(s.waiting, r); at >= 0 {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
+		return
+	}
+	at := slices.IndexFunc(s.running, func(j *job) bool { return j.r == r })
+	if at < 0 {
+		return
+	}
+	s.running[at].turn++
+	s.running = slices.Delete(s.running, at, at+1)
+	s.next()
+}
+
 // end answers a job and starts the next request.
 func (s *server) end(j *job) {
 	for i := range s.running {
@@ -143,6 +161,15 @@
 			s.change(func() { s.cold = false })
 		}
 	}
+	s.next()
+	s.w.reply(j.r, answer{kind: good, load: s.reported()})
+	if p, ok := s.w.policy.(*central); ok {
+		p.freed(s.index)
+	}
+}
+
+// next starts waiting requests on free slots.
+func (s *server) next() {
 	for len(s.waiting) > 0 && len(s.running) < s.w.Layout.Slots {
 		next := s.waiting[0]
 		s.waiting = s.waiting[1:]
@@ -152,10 +179,6 @@
 		}
 		s.w.reply(next, answer{kind: serverError, load: s.reported()})
 	}
-	s.w.reply(j.r, answer{kind: good, load: s.reported()})
-	if p, ok := s.w.policy.(*central); ok {
-		p.freed(s.index)
-	}
 }
 
 // crash breaks every request in progress and starts a new, cold life.
