Let the second proof end before the test cuts the quorum off

Cause: the test slept for the period of the proofs, so that at the same virtual moment the cut and the second proof raced. Where the cut came first, the lease counted from the first proof and ended a second before the test's last watch. The test now waits for the proof that is due; its bounds are unchanged.

--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -98,6 +98,7 @@
 		done := make(chan error, 1)
 		go func() { done <- d.run(ctx) }()
 		time.Sleep(quorumPeriod)
+		synctest.Wait()
 		r.cut.Store(true)
 		if _, err := d.watch(ctx, peer.Watch{Host: "e1"}); err == nil {
 			t.Error("a first watch was answered without a quorum")
