Keep an entry unready until it knows the backend servers

Cause: an entry that started again turned ready with its configuration alone. Until the next exchange with another entry, up to a second, it knew no backend server and answered "no_backend_server" with NotRun.

Ruled out: waiting for one lease, since a start would always take that long.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	reasonStopping        = "stopping"
 	reasonZoneOut         = "availability zone out"
 	reasonCutOff          = "cut off"
+	reasonJoining         = "joining the other entries"
 )
 
 // handOverTimeout bounds the handing over of leases when the entry stops.
@@ -65,7 +66,7 @@
 	e := &Entry{
 		settings: s, log: log,
 		metrics: telemetry.NewMetrics(),
-		ready:   platform.NewReadiness(reasonNoConfiguration),
+		ready:   platform.NewReadiness(reasonNoConfiguration, reasonJoining),
 		links:   newLinks(s),
 	}
 	e.members = newNode(s, e.links)
@@ -125,6 +126,16 @@
 	return routes
 }
 
+// awaitJoined keeps the entry unready until it knows the backend servers that
+// the other entries know.
+func (e *Entry) awaitJoined(ctx context.Context) {
+	select {
+	case <-e.members.Joined():
+		e.ready.Set(reasonJoining, false)
+	case <-ctx.Done():
+	}
+}
+
 // newExchanger returns an exchanger that notes backend servers that leave.
 func (e *Entry) newExchanger() *backend.Exchanger {
 	x := backend.NewExchanger()
@@ -159,6 +170,10 @@
 	g.Go(func() error { return e.peers.Serve(work, e.peerLinks) })
 	g.Go(func() error { return e.follower.run(work) })
 	g.Go(func() error { return e.members.Run(work) })
+	g.Go(func() error {
+		e.awaitJoined(work)
+		return nil
+	})
 	g.Go(func() error { return e.sharer.run(work) })
 	e.log.Info().Stringer("callers", e.settings.Entry.CallerListen).Msg("entry started")
 	<-ctx.Done()
--- a/membership/message.go
+++ b/membership/message.go
@@ -60,6 +60,8 @@
 
 	// Deltas are what the asker lacks.
 	Deltas []Delta `json:"deltas,omitempty"`
+	// Joined says that the answering node has joined the others.
+	Joined bool `json:"joined,omitempty"`
 }
 
 // Push tells of changes.
--- a/membership/node.go
+++ b/membership/node.go
@@ -38,6 +38,7 @@
 	transport Transport
 	links     []*link
 	avoided   sync.Map // host name to time.Time, the end of not forwarding
+	joined    chan struct{}
 }
 
 // link is what a node keeps for pushing to one other entry.
@@ -52,7 +53,7 @@
 
 // NewNode returns a node. regions maps each availability zone to its region.
 func NewNode(table *Table, hosts *Hosts, places []Host, regions map[string]string, t Transport) *Node {
-	n := &Node{table: table, hosts: hosts, regions: regions, transport: t}
+	n := &Node{table: table, hosts: hosts, regions: regions, transport: t, joined: make(chan struct{})}
 	for _, p := range places {
 		if p.Name != hosts.self {
 			n.links = append(n.links, &link{host: p.Name, signal: make(chan struct{}, signalCapacity)})
@@ -67,10 +68,14 @@
 // Hosts returns the node's hosts.
 func (n *Node) Hosts() *Hosts { return n.hosts }
 
-// Run does the node's duties until ctx ends: ticks, probes, and a pusher for
-// each other entry.
+// Run does the node's duties until ctx ends: it joins the other entries, ticks,
+// probes, and pushes to each of them.
 func (n *Node) Run(ctx context.Context) error {
 	var g errgroup.Group
+	g.Go(func() error {
+		n.join(ctx)
+		return nil
+	})
 	g.Go(func() error { return n.tickForever(ctx) })
 	g.Go(func() error { return n.probeForever(ctx) })
 	for _, l := range n.links {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -89,22 +89,25 @@
 }
 
 // sync fetches from a host what this node lacks and sends what the host lacks.
-func (n *Node) sync(ctx context.Context, host string) {
+// It reports whether the host answered and had joined the others.
+func (n *Node) sync(ctx context.Context, host string) (joined bool) {
 	for range maxSyncRounds {
 		ask := Sync{Marks: n.table.Known(), Hosts: n.hosts.States()}
 		var got Synced
 		if n.call(ctx, host, MethodSync, ask, &got) != nil {
-			return
+			return joined
 		}
+		joined = got.Joined
 		n.learn(got.Hosts, got.Deltas)
 		missing := n.table.Missing(got.Marks)
 		if len(missing) > 0 {
 			_ = n.call(ctx, host, MethodPush, Push{Deltas: missing}, &Pushed{})
 		}
 		if len(missing) == 0 && len(got.Deltas) == 0 {
-			return
+			return joined
 		}
 	}
+	return joined
 }
 
 // learn takes in what another entry says.
--- a/membership/serve.go
+++ b/membership/serve.go
@@ -24,6 +24,7 @@
 	return Synced{
 		Sync:   Sync{Marks: n.table.Known(), Hosts: n.hosts.States()},
 		Deltas: n.table.Missing(s.Marks),
+		Joined: n.hasJoined(),
 	}, nil
 }
 
