Remove a dead control host by plan in the test of real processes

The five processes' test now removes a killed voter through a confirmed plan and goes on changing. A region's ledger may go down to one voter and is left out of a plan while it has no leader: with the bound for all groups, a dead host in a region of two could not have been removed at all.

--- a/bench/integration/control_test.go
+++ b/bench/integration/control_test.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 
 	"tanagerbarrow/bench/cluster"
+	"tanagerbarrow/consensus"
 	"tanagerbarrow/operator"
 	"tanagerbarrow/state"
 )
@@ -191,4 +193,25 @@
 	o.kill(o.Controls[third].Name)
 	o.change("after-repair", -1)
 	o.checkKept(lost)
+	o.removeReplica(lost, o.Controls[second].Name)
+	o.change("after-removal", -1)
+}
+
+// removeReplica plans and confirms the removal of a host.
+func (o *operators) removeReplica(through int, name string) {
+	o.t.Helper()
+	c := o.client(through)
+	intent := operator.ReplicaIntent{Change: consensus.Change{Kind: consensus.RemoveReplica, Name: name}}
+	p, err := c.ChangeReplicas(intent)
+	if err != nil || p.Refusal != "" || p.Groups[0].VotersAfter != len(o.Controls)-1 {
+		o.t.Fatalf("the removal of %s was planned as %+v: %v", name, p, err)
+	}
+	intent.Digest = p.Digest
+	if p, err = c.ChangeReplicas(intent); err != nil || !p.Accepted {
+		o.t.Fatalf("the removal of %s was answered by %+v: %v", name, p, err)
+	}
+	o.eventually("the host is no voter of the common groups", func() bool {
+		groups, err := c.Replicas()
+		return err == nil && !slices.Contains(groups[0].Voters, name) && !slices.Contains(groups[1].Voters, name)
+	})
 }
--- a/operator/replicas.go
+++ b/operator/replicas.go
@@ -14,10 +14,12 @@
 	"tanagerbarrow/consensus"
 )
 
-// The numbers of voters that a group may be given.
+// The numbers of voters that a group may be given. A region may have fewer
+// control hosts than a group over all regions must have.
 const (
-	minVoters = 3
-	maxVoters = 7
+	minVoters         = 3
+	minRegionalVoters = 1
+	maxVoters         = 7
 )
 
 // ReplicaGroups are the replicated groups of a control process.
@@ -148,7 +150,13 @@
 	member, learner := isMember(s, change.Name)
 	leaves, _ := isMember(s, change.Replaces)
 	out := &ReplicaStep{Group: s.Group, VotersBefore: before, VotersAfter: before}
+	least := minVoters
+	if s.Regional {
+		least = minRegionalVoters
+	}
 	switch {
+	case s.Leader == "" && s.Regional:
+		return nil, ""
 	case s.Leader == "":
 		return nil, "there is no known leader"
 	case change.Kind == consensus.RemoveReplica && !member:
@@ -157,8 +165,8 @@
 		if !learner {
 			out.VotersAfter--
 		}
-		if out.VotersAfter < minVoters {
-			return nil, fmt.Sprintf("%d voters would be left, at least %d must be", out.VotersAfter, minVoters)
+		if out.VotersAfter < least {
+			return nil, fmt.Sprintf("%d voters would be left, at least %d must be", out.VotersAfter, least)
 		}
 		out.Text = fmt.Sprintf("host %q leaves", change.Name)
 	case member:
--- a/operator/replicas_test.go
+++ b/operator/replicas_test.go
@@ -21,6 +21,8 @@
 	seven := groupOf("a", "b", "c", "d", "e", "f", "g")
 	leaderless := groupOf("a", "b", "c")
 	leaderless.Leader = ""
+	two, silent := groupOf("a", "b"), groupOf("a", "b")
+	two.Regional, silent.Regional, silent.Leader = true, true, ""
 	cases := []struct {
 		name    string
 		change  consensus.Change
@@ -37,6 +39,8 @@
 		{"replace", consensus.Change{Kind: consensus.ReplaceReplica, Name: "x", Replaces: "b"}, three, 3, false},
 		{"replace a stranger", consensus.Change{Kind: consensus.ReplaceReplica, Name: "x", Replaces: "y"}, three, 0, true},
 		{"no leader", consensus.Change{Kind: consensus.AddReplica, Name: "x"}, leaderless, 0, true},
+		{"remove in a region", consensus.Change{Kind: consensus.RemoveReplica, Name: "a"}, two, 1, false},
+		{"remove in a silent region", consensus.Change{Kind: consensus.RemoveReplica, Name: "a"}, silent, 0, true},
 		{"unknown", consensus.Change{Kind: "grow", Name: "x"}, three, 0, true},
 	}
 	for _, c := range cases {
