--- a/bench/cmd/controlbench/main.go
+++ b/bench/cmd/controlbench/main.go
@@ -1,5 +1,5 @@
 // Command controlbench measures control processes on this machine: commit
-// latency, restart time, and use at rest. A full run takes about two minutes.
+// latency, failover, restart time, and use at rest. A full run takes about three minutes.
 package main
 
 import (
@@ -19,15 +19,17 @@
 )
 
 func main() {
-	app := kingpin.New("controlbench", "Measure control processes: commit latency, restart time, use at rest.")
+	app := kingpin.New("controlbench", "Measure control processes: commit latency, failover, restart time, use at rest.")
 	binary := app.Flag("binary", "Path of the daemon.").Default("bin/tanagerbarrow").String()
 	commits := app.Flag("commits", "Commits of one caller; 64 callers make ten times as many.").Default("1000").Int()
 	rest := app.Flag("rest", "Time at rest.").Default("20s").Duration()
 	changes := app.Flag("changes", "Changes before a restart; repeat it.").Default("500", "50000").Ints()
 	pause := app.Flag("pause", "Pause between changes in the second reading of use; 6,700 a day are one in 12.9s.").
 		Default("12.9s").Duration()
+	kills := app.Flag("kills", "Leaders that are killed, at most 100.").Default("10").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, part := range []func() error{
+		func() error { return failover(*binary, min(*kills, 100)) },
 		func() error { return commit(*binary, *commits) },
 		func() error { return restart(*binary, *changes) },
 		func() error { return use(*binary, *rest, 0) },
@@ -90,3 +92,17 @@
 		duration, u.Changes, u.BytesPerSecond, u.Cores*100, u.MemoryBytes/mebibyte)
 	return nil
 }
+
+// failover prints the time without commits after a leader was killed.
+func failover(binary string, kills int) error {
+	if kills == 0 {
+		return nil
+	}
+	f, err := controlbench.MeasureFailover(binary, 5, kills)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("5 voters, leader killed %d times: commits again after %.0f ms (shortest), %.0f ms (median), %.0f ms (longest)\n",
+		kills, milliseconds(f.Shortest), milliseconds(f.Median), milliseconds(f.Longest))
+	return nil
+}
--- a/bench/controlbench/doc.go
+++ b/bench/controlbench/doc.go
@@ -1,3 +1,4 @@
 // Package controlbench measures control processes: the latency of a commit, the
-// time of a restart, and what they use at rest.
+// time without commits after a leader's loss, the time of a restart, and what
+// they use at rest.
 package controlbench
--- a/operator/replicas.go
+++ b/operator/replicas.go
@@ -146,48 +146,74 @@
 // planGroup plans a change of one group. It returns nothing for a group that
 // the change does not concern.
 func planGroup(change consensus.Change, s consensus.Status) (step *ReplicaStep, refusal string) {
+	if s.Leader == "" && s.Regional {
+		return nil, ""
+	}
+	if s.Leader == "" {
+		return nil, "there is no known leader"
+	}
+	after, text := 0, ""
+	switch change.Kind {
+	case consensus.AddReplica:
+		after, text, refusal = planAdd(change, s)
+	case consensus.RemoveReplica:
+		after, text, refusal = planRemove(change, s)
+	case consensus.ReplaceReplica:
+		after, text = planReplace(change, s)
+	default:
+		refusal = fmt.Sprintf("change %q is unknown", change.Kind)
+	}
+	if refusal != "" || text == "" {
+		return nil, refusal
+	}
 	before := len(s.Voters)
+	return &ReplicaStep{
+		Group: s.Group, VotersBefore: before, VotersAfter: after,
+		LossesBefore: losses(before), LossesAfter: losses(after), Text: text,
+	}, ""
+}
+
+// planAdd returns the voters after a host was added and what will happen.
+func planAdd(change consensus.Change, s consensus.Status) (after int, text, refusal string) {
+	after = len(s.Voters) + 1
+	if member, _ := isMember(s, change.Name); member || s.Regional {
+		return 0, "", ""
+	}
+	if after > maxVoters {
+		return 0, "", fmt.Sprintf("there would be %d voters, at most %d may be", after, maxVoters)
+	}
+	return after, fmt.Sprintf("host %q learns the log and votes once it has synced", change.Name), ""
+}
+
+// planRemove returns the voters after a host left and what will happen.
+func planRemove(change consensus.Change, s consensus.Status) (after int, text, refusal string) {
 	member, learner := isMember(s, change.Name)
-	leaves, _ := isMember(s, change.Replaces)
-	out := &ReplicaStep{Group: s.Group, VotersBefore: before, VotersAfter: before}
+	if !member {
+		return 0, "", ""
+	}
+	after = len(s.Voters)
+	if !learner {
+		after--
+	}
 	least := minVoters
 	if s.Regional {
 		least = minRegionalVoters
 	}
-	switch {
-	case s.Leader == "" && s.Regional:
-		return nil, ""
-	case s.Leader == "":
-		return nil, "there is no known leader"
-	case change.Kind == consensus.RemoveReplica && !member:
-		return nil, ""
-	case change.Kind == consensus.RemoveReplica:
-		if !learner {
-			out.VotersAfter--
-		}
-		if out.VotersAfter < least {
-			return nil, fmt.Sprintf("%d voters would be left, at least %d must be", out.VotersAfter, least)
-		}
-		out.Text = fmt.Sprintf("host %q leaves", change.Name)
-	case member:
-		return nil, ""
-	case change.Kind == consensus.AddReplica && before >= maxVoters:
-		return nil, fmt.Sprintf("there are %d voters already, at most %d may be", before, maxVoters)
-	case change.Kind == consensus.AddReplica && s.Regional:
-		return nil, ""
-	case change.Kind == consensus.AddReplica:
-		out.VotersAfter++
-		out.Text = fmt.Sprintf("host %q learns the log and votes once it has synced", change.Name)
-	case change.Kind == consensus.ReplaceReplica && !leaves:
-		return nil, ""
-	case change.Kind == consensus.ReplaceReplica:
-		out.Text = fmt.Sprintf("host %q learns the log and votes once it has synced; then host %q leaves",
-			change.Name, change.Replaces)
-	default:
-		return nil, fmt.Sprintf("change %q is unknown", change.Kind)
+	if after < least {
+		return 0, "", fmt.Sprintf("%d voters would be left, at least %d must be", after, least)
+	}
+	return after, fmt.Sprintf("host %q leaves", change.Name), ""
+}
+
+// planReplace returns the voters after a replacement and what will happen.
+func planReplace(change consensus.Change, s consensus.Status) (after int, text string) {
+	member, _ := isMember(s, change.Name)
+	leaves, _ := isMember(s, change.Replaces)
+	if member || !leaves {
+		return 0, ""
 	}
-	out.LossesBefore, out.LossesAfter = losses(before), losses(out.VotersAfter)
-	return out, ""
+	return len(s.Voters), fmt.Sprintf("host %q learns the log and votes once it has synced; then host %q leaves",
+		change.Name, change.Replaces)
 }
 
 // isMember reports whether a host is a member, and whether it only learns.
