--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -165,7 +165,12 @@
 		return outcome{err: verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeBusy,
 			"group %q has %d commands waiting", n.options.Group, proposalCapacity)}
 	}
-	return n.wait(ctx, p.done, verdict.MayHaveRun)
+	begin := time.Now()
+	out := n.wait(ctx, p.done, verdict.MayHaveRun)
+	if out.err == nil && n.options.Commits != nil {
+		n.options.Commits.UpdateDuration(begin)
+	}
+	return out
 }
 
 // readHere asks the run goroutine for a confirmed read index.
--- a/control/replication.go
+++ b/control/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -48,17 +49,37 @@
 	for _, o := range groups {
 		o.Name, o.FS, o.Transport, o.Log = s.Host.Name, wal.OS{}, r.transport, log
 		o.Folder = filepath.Join(s.Control.DataFolder, o.Group)
+		o.Commits = m.Set.GetOrCreateHistogram(fmt.Sprintf(`tanagerbarrow_commit_duration_seconds{group=%q}`, o.Group))
 		node, err := consensus.Open(o)
 		if err != nil {
 			return nil, errors.CombineErrors(err, r.close())
 		}
 		r.nodes[o.Group] = node
 		r.order = append(r.order, o.Group)
+		r.export(m, node)
 		go r.watch(node)
 	}
 	return r, nil
 }
 
+// export makes the state of a replica readable as metrics.
+func (r *replicas) export(m *telemetry.Metrics, n *consensus.Node) {
+	gauge := func(name string, value func(consensus.Status) float64) {
+		full := fmt.Sprintf("tanagerbarrow_replica_%s{group=%q}", name, n.Status().Group)
+		m.Set.GetOrCreateGauge(full, func() float64 { return value(n.Status()) })
+	}
+	gauge("leads", func(s consensus.Status) float64 {
+		if s.LeaderIdentity == s.Identity {
+			return 1
+		}
+		return 0
+	})
+	gauge("term", func(s consensus.Status) float64 { return float64(s.Term) })
+	gauge("voters", func(s consensus.Status) float64 { return float64(len(s.Voters)) })
+	gauge("commit_index", func(s consensus.Status) float64 { return float64(s.CommitIndex) })
+	gauge("applied_index", func(s consensus.Status) float64 { return float64(s.AppliedIndex) })
+}
+
 // members returns the control hosts of a region, or all.
 func members(s *settings.Settings, region string) []raft.Member {
 	var all []raft.Member
