--- a/balance/choices.go
+++ b/balance/choices.go
@@ -169,7 +169,7 @@
 		p.look(s.near, nearLooked, 0)
 		p.look(s.far, farLooked, unknownLoad)
 	}
-	if p.best == nil && p.ejected {
+	if p.best == nil && p.ejected && !p.full {
 		p.healthy = false
 		p.look(s.near, nearLooked, 0)
 		p.look(s.far, farLooked, unknownLoad)
--- a/bench/policy/policies.go
+++ b/bench/policy/policies.go
@@ -23,6 +23,8 @@
 	all := []Named{
 		{Name: Limit, New: Central},
 		{Name: Daemon, New: Chosen},
+		{Name: "chosen, hedged 30ms", New: func() Policy { return Hedged(30 * time.Millisecond) }},
+		{Name: "chosen, hedged 60ms", New: func() Policy { return Hedged(60 * time.Millisecond) }},
 		{Name: "owner picks", New: Owned},
 		{Name: "slot leases", New: Leases},
 		{Name: "piggyback", New: Piggyback},
--- a/caller/matrix_test.go
+++ b/caller/matrix_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +35,15 @@
 // matrixTimeout is the deadline of requests whose fault is silence.
 const matrixTimeout = 60 * time.Millisecond
 
+// matrixParallel is how many cells run at once; most of them wait.
+const matrixParallel = "24"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("test.parallel", matrixParallel)
+	os.Exit(m.Run())
+}
+
 // memoryClaims is a ledger without replication.
 type memoryClaims struct{ machine *ledger.Machine }
 
@@ -56,11 +67,18 @@
 
 	mu    sync.Mutex
 	last  error
+	began chan struct{} // capacity 1
 	ended chan struct{}
 	once  sync.Once
 }
 
 func (o *outcomes) Dispatch(ctx context.Context, r *request.Request, h *http.Request) (*http.Response, error) {
+	if h.URL.Path != warmPath {
+		select {
+		case o.began <- struct{}{}:
+		default:
+		}
+	}
 	res, err := o.Dispatcher.Dispatch(ctx, r, h)
 	if h.URL.Path != warmPath {
 		o.mu.Lock()
@@ -77,31 +95,52 @@
 
 	outcomes  *outcomes
 	exchanger *backend.Exchanger
+	ticked    chan struct{}
 }
 
 // stop ends the entry and closes its connections to backend servers.
 func (e *testEntry) stop() {
 	e.Close()
 	e.exchanger.Close()
+	close(e.ticked)
 }
 
+// tick moves the admission of backend servers on, as an entry does.
+func (e *testEntry) tick(b *dispatch.Balancer) {
+	ticks := time.NewTicker(tickPeriod)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-e.ticked:
+			return
+		case now := <-ticks.C:
+			b.Loads.Tick(now)
+			b.WakeAll()
+		}
+	}
+}
+
+// tickPeriod is the time between ticks.
+const tickPeriod = 5 * time.Millisecond
+
 func startEntry(servers ...netip.AddrPort) *testEntry {
 	config := state.NewConfiguration()
 	config.Services["s"] = state.Service{Name: "s"}
 	view := &membership.View{Services: map[string][]membership.BackendServer{}}
 	for _, address := range servers {
 		view.Services["s"] = append(view.Services["s"], membership.BackendServer{
-			Service: "s", Address: address, AvailabilityZone: "a", Slots: 2, Generation: 1, State: membership.Ready,
+			Service: "s", Address: address, AvailabilityZone: "a", Slots: 64, Generation: 1, State: membership.Ready,
 		})
 	}
 	current := func() *state.Configuration { return config }
 	exchanger := backend.NewExchanger()
-	o := &outcomes{ended: make(chan struct{}), Dispatcher: &dispatch.Dispatcher{
+	loads := balance.NewLoads(balance.Options{Self: "e", Live: func() []string { return []string{"e"} }}, time.Now())
+	o := &outcomes{began: make(chan struct{}, 1), ended: make(chan struct{}), Dispatcher: &dispatch.Dispatcher{
 		Exchanger: exchanger, Claims: memoryClaims{ledger.NewMachine()}, Retries: limit.NewRetryBudget(),
 		Balancer: &dispatch.Balancer{
 			Members: func() *membership.View { return view }, Configuration: current,
 			Place: balance.Place{AvailabilityZone: "a", Regions: map[string]string{"a": "north"}},
-			Loads: balance.NewLoads(balance.Options{Self: "e", Live: func() []string { return []string{"e"} }}, time.Now()),
+			Loads: loads,
 		},
 	}}
 	front := &Front{
@@ -112,7 +151,8 @@
 	}
 	routes := echo.New()
 	front.Register(routes)
-	e := &testEntry{Server: httptest.NewUnstartedServer(routes), outcomes: o, exchanger: exchanger}
+	e := &testEntry{Server: httptest.NewUnstartedServer(routes), outcomes: o, exchanger: exchanger, ticked: make(chan struct{})}
+	go e.tick(o.Dispatcher.(*dispatch.Dispatcher).Balancer.(*dispatch.Balancer))
 	e.Config.ErrorLog = log.New(io.Discard, "", 0)
 	e.Start()
 	return e
@@ -282,7 +322,11 @@
 		r.Header.Set(request.TimeoutHeader, fmt.Sprint(matrixTimeout.Milliseconds()))
 	}
 	if c.gone {
-		time.AfterFunc(matrixTimeout, cancel)
+		go func() {
+			<-e.outcomes.began
+			time.Sleep(matrixTimeout)
+			cancel()
+		}()
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := client.Do(r)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -172,7 +172,7 @@
 	if err == nil {
 		whole, err = holdAnswer(ctx, res, to)
 	}
-	answer := answerOf(ctx, res, err, time.Since(start))
+	answer := answerOf(ctx, res, err, time.Since(b.sentSince(start)))
 	if err != nil {
 		d.Balancer.Release(on, answer)
 		return nil, err
