Tell every entry of the region at once that a server may be cold

A server that crashes and returns cold is suspected first by the entries whose requests broke. They told its owner, and the others heard of it from the owner only, one report later. Now every entry of the region hears the suspicion and stops until the owner speaks. What remains are requests that entries send to the new life before any word can reach them; p99 stays within its spread.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -286,18 +286,23 @@
 	p.suspect = l.owner(key, now) != l.self
 }
 
-// acceptSuspect hears another entry's suspicion.
-func (l *Loads) acceptSuspect(told Phase) {
+// acceptSuspect hears another entry's suspicion. The owner starts an admission;
+// another entry stops its own requests and waits for the owner's word too.
+func (l *Loads) acceptSuspect(told Phase, now time.Time) {
 	p := l.phaseOf(told.Key)
 	t, ok := l.servers[told.Key]
 	if !ok {
 		return
 	}
-	p.changed = l.scan + 1
+	owner := l.owner(told.Key, now) == l.self
+	if owner {
+		p.changed = l.scan + 1
+	}
 	if p.cold || told.Epoch < p.epoch {
 		return
 	}
-	p.epoch = told.Epoch + 1
+	p.epoch = told.Epoch
+	p.suspect = !owner
 	l.turnCold(told.Key, t.Server)
 }
 
@@ -328,20 +333,20 @@
 	}
 }
 
-// addWants adds the wishes and suspicions that concern backend servers which
-// the peer owns.
+// addWants adds suspicions, which every entry of the region hears so that all
+// stop at once, and the wishes for backend servers that the peer owns.
 func (l *Loads) addWants(r *Report, to string, now time.Time) {
 	for key, s := range l.cold {
 		p := l.phaseOf(key)
 		if !p.suspect && !s.wanted.Load() {
 			continue
 		}
-		if t := l.servers[key]; t == nil || t.far || l.owner(key, now) != to {
+		if t := l.servers[key]; t == nil || t.far {
 			continue
 		}
 		if p.suspect {
 			r.Suspects = append(r.Suspects, Phase{Key: key, Epoch: p.epoch, Cold: true})
-		} else if len(l.loans[key]) == 0 {
+		} else if l.owner(key, now) == to && len(l.loans[key]) == 0 {
 			s.wanted.Store(false)
 			r.Wants = append(r.Wants, Phase{Key: key, Epoch: p.epoch, Cold: true})
 		}
--- a/balance/exchange.go
+++ b/balance/exchange.go
@@ -161,7 +161,7 @@
 		l.acceptPhase(ph)
 	}
 	for _, s := range r.Suspects {
-		l.acceptSuspect(s)
+		l.acceptSuspect(s, now)
 	}
 	for _, back := range r.Returns {
 		l.acceptReturn(back)
--- a/balance/report.go
+++ b/balance/report.go
@@ -13,7 +13,7 @@
 	Counts []Count `json:"c,omitempty"`
 	// Wants are cold servers that the teller could use; the told host owns them.
 	Wants []Phase `json:"w,omitempty"`
-	// Suspects are servers that the teller believes cold; the told host owns them.
+	// Suspects are servers that the teller believes cold until their owner speaks.
 	Suspects []Phase `json:"s,omitempty"`
 	// Returns ends loans.
 	Returns []Return `json:"r,omitempty"`
