--- a/bench/standin/script.go
+++ b/bench/standin/script.go
@@ -97,6 +97,8 @@
 	Ran     int `json:"ran"`
 	Refused int `json:"refused"`
 	Failed  int `json:"failed"`
+	// Cut counts bodies that ended early.
+	Cut int `json:"cut"`
 	// Peak is the most requests that ran at once.
 	Peak int `json:"peak"`
 	// LastArrival is when the last request came.
--- a/bench/standin/serve.go
+++ b/bench/standin/serve.go
@@ -152,6 +152,9 @@
 	sum := sha256.New()
 	size, err := io.Copy(sum, r.Body)
 	if err != nil {
+		s.mu.Lock()
+		s.counters.Cut++
+		s.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
 	s.note(run.Token, run)
