Send no request to a third backend server after crashes

Cause: a read whose connections broke was sent to three backend servers, so a request that crashes its backend servers could take three. Change: after two attempts whose connection broke with the request possibly run, the request ends with MayHaveRun. Failed dials don't count. Tests: TestNoThirdBackendServerAfterCrashes failed for all three codes before. Not built: remembering such a request over arrivals and entries.

--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"tanagerbarrow/backend"
+	"tanagerbarrow/limit"
+	"tanagerbarrow/membership"
+	"tanagerbarrow/request"
+	"tanagerbarrow/state"
+	"tanagerbarrow/verdict"
+)
+
+// crasher stands for backend servers that the request crashes. The first
+// attempt on each breaks its connection with the given code; later dials fail.
+type crasher struct {
+	code    string
+	crashed map[netip.AddrPort]bool
+}
+
+func (c *crasher) Exchange(_ context.Context, to *membership.BackendServer, _ *backend.Attempt) (*http.Response, error) {
+	if c.crashed[to.Address] {
+		return nil, verdict.New(verdict.NotRun, http.StatusBadGateway, backend.CodeDialFailed, "refused")
+	}
+	c.crashed[to.Address] = true
+	return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, c.code, "broken")
+}
+
+func TestNoThirdBackendServerAfterCrashes(t *testing.T) {
+	view := &membership.View{Services: map[string][]membership.BackendServer{}}
+	for port := range uint16(6) {
+		view.Services["s"] = append(view.Services["s"], membership.BackendServer{
+			Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1),
+			AvailabilityZone: "a", Slots: 2, Generation: 1,
+		})
+	}
+	for _, code := range []string{backend.CodeExchangeFailed, backend.CodeConnectionLost, backend.CodeAnswerCut} {
+		c := &crasher{code: code, crashed: map[netip.AddrPort]bool{}}
+		d := &Dispatcher{
+			Exchanger: c, Retries: limit.NewRetryBudget(),
+			Balancer: &RoundRobin{
+				Members: func() *membership.View { return view }, Configuration: state.NewConfiguration,
+				Regions: map[string]string{"a": "north"},
+			},
+		}
+		r := &request.Request{Service: state.Service{Name: "s"}, Class: request.Read, Deadline: time.Now().Add(time.Hour)}
+		res, err := d.Dispatch(context.Background(), r, httptest.NewRequest(http.MethodGet, "/s/x", nil))
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		if verdict.Of(err) != verdict.MayHaveRun || len(c.crashed) > 2 {
+			t.Errorf("%s: %d backend servers crashed, verdict %v", code, len(c.crashed), verdict.Of(err))
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,6 +28,10 @@
 	maxDialFailures = 8
 )
 
+// maxCrashes bounds the attempts of one request whose connections broke: a
+// request that crashes its backend servers never reaches a third one.
+const maxCrashes = 2
+
 // maxIdle bounds how long a connection was idle before it carries a request
 // that is not idempotent: such a request can't be sent again where it turns out
 // that the connection went silent.
@@ -91,7 +95,7 @@
 	d.Retries.Request()
 	var tried []netip.AddrPort
 	var last error
-	for sent, unreachable := 0, 0; sent < maxAttempts && unreachable < maxDialFailures; {
+	for sent, unreachable, crashes := 0, 0, 0; sent < maxAttempts && unreachable < maxDialFailures; {
 		started, err := d.Balancer.Reserve(ctx, r, tried)
 		if err != nil {
 			last = d.reserveError(r, err, last)
@@ -106,7 +110,10 @@
 		if !backend.ConnectionAtFault(err) {
 			tried = append(tried, to)
 		}
-		if ctx.Err() != nil || !mayRetry(r, err, body) {
+		if mayHaveCrashed(err) {
+			crashes++
+		}
+		if ctx.Err() != nil || !mayRetry(r, err, body) || crashes >= maxCrashes {
 			break
 		}
 		if verdict.As(err).Code == backend.CodeDialFailed {
@@ -121,6 +128,17 @@
 	return nil, last
 }
 
+// mayHaveCrashed reports whether the attempt may have crashed its backend
+// server: the connection broke after the request may have run.
+func mayHaveCrashed(err error) bool {
+	switch verdict.As(err).Code {
+	case backend.CodeExchangeFailed, backend.CodeAnswerCut, backend.CodeConnectionLost:
+		return verdict.Of(err) == verdict.MayHaveRun
+	default:
+		return false
+	}
+}
+
 // reserveError returns the error of a request that got no further backend
 // server: that of its last attempt, if there was one.
 func (d *Dispatcher) reserveError(r *request.Request, err, last error) error {
