--- a/bench/policy/chosen.go
+++ b/bench/policy/chosen.go
@@ -24,6 +24,10 @@
 	entries []*chosenEntry
 	index   map[netip.AddrPort]int
 	start   time.Time
+
+	hedgeAfter time.Duration // 0 sends no hedges
+	requests   int
+	hedges     int
 }
 
 // chosenEntry is one entry.
@@ -135,6 +139,7 @@
 	if ok {
 		e.started[r] = started
 		c.w.send(r, c.index[s.Record.Address])
+		c.sent(r)
 	}
 	return ok
 }
@@ -156,6 +161,10 @@
 // Answered ends the count and learns from the answer.
 func (c *chosen) Answered(r *request, a answer) {
 	e := c.entries[r.entry]
+	if _, ok := e.started[r]; !ok {
+		return // cancelled before
+	}
+	c.cancelTwin(r)
 	kinds := map[answerKind]balance.Kind{good: balance.Good, serverError: balance.ServerError, broken: balance.Broken}
 	e.loads.Finish(e.started[r], balance.Answer{Kind: kinds[a.kind], Took: c.w.now - r.sent}, c.now())
 	delete(e.started, r)
