--- a/consensus/serve.go
+++ b/consensus/serve.go
@@ -36,6 +36,9 @@
 	case RequestRead:
 		o := n.readHere(ctx)
 		out.Index, err = o.index, o.err
+	case RequestTouch:
+		o := n.touchHere(ctx)
+		out.Index, err = o.index, o.err
 	case RequestIdentify:
 		out.Self, out.Formed = n.self, len(n.Status().Members.All()) > 0
 	case RequestJoin:
@@ -62,7 +65,7 @@
 // publish makes the replica's state readable for other goroutines.
 func (n *Node) publish() {
 	s := &Status{
-		Group: n.options.Group, ID: n.self.Name, Identity: n.self.ID,
+		Group: n.options.Group, Regional: n.options.Regional, ID: n.self.Name, Identity: n.self.ID,
 		Role: n.core.Role().String(), Term: n.core.Term(),
 		CommitIndex: n.core.Commit(), AppliedIndex: n.applied,
 		LeaderIdentity: n.core.LeaderID(), Members: n.core.Members(),
--- a/control/distribution.go
+++ b/control/distribution.go
@@ -21,7 +21,9 @@
 // The times of the distribution.
 const (
 	// quorumPeriod is the time between two proofs of touch with the quorum.
-	quorumPeriod = time.Second
+	quorumPeriod = 2 * time.Second
+	// proofTimeout bounds one proof.
+	proofTimeout = time.Second
 	// quorumLease is how long a proof lets a control host answer watches.
 	quorumLease = 3 * time.Second
 	// reportLease is how long the report of an entry that went silent counts.
@@ -78,7 +80,7 @@
 	tick := time.NewTicker(quorumPeriod)
 	defer tick.Stop()
 	for {
-		if err := d.prove(ctx); err != nil && ctx.Err() == nil {
+		if err := d.prove(ctx, d.touch); err != nil && ctx.Err() == nil {
 			d.log.Warn().Err(err).Msg("out of touch with the quorum")
 		}
 		select {
@@ -92,13 +94,13 @@
 	}
 }
 
-// prove reads through the quorum once. Everything committed before then is in
-// the feed afterwards.
-func (d *distribution) prove(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, quorumPeriod)
+// prove reads through the quorum once, in the given way. Everything committed
+// before then is in the feed afterwards.
+func (d *distribution) prove(ctx context.Context, read func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
 	begin := time.Now()
-	if err := d.config.ReadBarrier(ctx); err != nil {
+	if err := read(ctx); err != nil {
 		return err
 	}
 	d.mu.Lock()
@@ -107,6 +109,15 @@
 	return nil
 }
 
+// touch reads through the quorum, at the leader's next heartbeat if the
+// replicated log can wait for it.
+func (d *distribution) touch(ctx context.Context) error {
+	if node, ok := d.config.(interface{ Touch(context.Context) error }); ok {
+		return node.Touch(ctx)
+	}
+	return d.config.ReadBarrier(ctx)
+}
+
 // proofAge returns the time since the last proof of touch with the quorum.
 func (d *distribution) proofAge() time.Duration {
 	d.mu.Lock()
@@ -115,22 +126,24 @@
 }
 
 // watch answers with a configuration newer than the asker's, or with nothing
-// after a while. The asker's first configuration follows a read barrier. A
-// control host that is out of touch with the quorum refuses.
+// after a while, at the latest when the proof of touch with the quorum ends. The
+// asker's first configuration follows a read barrier. A control host that is out
+// of touch with the quorum refuses.
 func (d *distribution) watch(ctx context.Context, w peer.Watch) (peer.Watched, error) {
 	d.note(w)
 	if !w.Known {
-		if err := d.prove(ctx); err != nil {
+		if err := d.prove(ctx, d.config.ReadBarrier); err != nil {
 			return peer.Watched{}, err
 		}
 	}
-	if d.proofAge() > quorumLease {
+	left := quorumLease - d.proofAge()
+	if left <= 0 {
 		return peer.Watched{}, errCutOff
 	}
 	if w.Full {
 		return peer.Watched{Update: state.Update{Full: d.feed.Current()}}, nil
 	}
-	u, err := peer.Await(ctx, d.feed, w, true)
+	u, err := peer.Await(ctx, d.feed, w, left)
 	return peer.Watched{Update: u, FreshMillisecondsAgo: d.proofAge().Milliseconds()}, err
 }
 
--- a/control/replication.go
+++ b/control/replication.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -42,22 +44,42 @@
 	groups := []consensus.Options{
 		{Group: GroupConfiguration, Hosts: everywhere, Machine: machine},
 		{Group: ledger.CommonGroup, Hosts: everywhere, Machine: ledger.NewMachine()},
-		{Group: ledger.GroupOf(s.Region()), Hosts: members(s, s.Region()), Machine: ledger.NewMachine()},
+		{Group: ledger.GroupOf(s.Region()), Regional: true, Hosts: members(s, s.Region()), Machine: ledger.NewMachine()},
 	}
 	for _, o := range groups {
 		o.Name, o.FS, o.Transport, o.Log = s.Host.Name, wal.OS{}, r.transport, log
 		o.Folder = filepath.Join(s.Control.DataFolder, o.Group)
+		o.Commits = m.Set.GetOrCreateHistogram(fmt.Sprintf(`tanagerbarrow_commit_duration_seconds{group=%q}`, o.Group))
 		node, err := consensus.Open(o)
 		if err != nil {
 			return nil, errors.CombineErrors(err, r.close())
 		}
 		r.nodes[o.Group] = node
 		r.order = append(r.order, o.Group)
+		r.export(m, node)
 		go r.watch(node)
 	}
 	return r, nil
 }
 
+// export makes the state of a replica readable as metrics.
+func (r *replicas) export(m *telemetry.Metrics, n *consensus.Node) {
+	gauge := func(name string, value func(consensus.Status) float64) {
+		full := fmt.Sprintf("tanagerbarrow_replica_%s{group=%q}", name, n.Status().Group)
+		m.Set.GetOrCreateGauge(full, func() float64 { return value(n.Status()) })
+	}
+	gauge("leads", func(s consensus.Status) float64 {
+		if s.LeaderIdentity == s.Identity {
+			return 1
+		}
+		return 0
+	})
+	gauge("term", func(s consensus.Status) float64 { return float64(s.Term) })
+	gauge("voters", func(s consensus.Status) float64 { return float64(len(s.Voters)) })
+	gauge("commit_index", func(s consensus.Status) float64 { return float64(s.CommitIndex) })
+	gauge("applied_index", func(s consensus.Status) float64 { return float64(s.AppliedIndex) })
+}
+
 // members returns the control hosts of a region, or all.
 func members(s *settings.Settings, region string) []raft.Member {
 	var all []raft.Member
@@ -114,3 +136,21 @@
 	r.transport.Close()
 	return failures
 }
+
+// Statuses describes the process's replica of each group.
+func (r *replicas) Statuses() []consensus.Status {
+	var all []consensus.Status
+	for _, group := range r.order {
+		all = append(all, r.nodes[group].Status())
+	}
+	return all
+}
+
+// Change begins a membership change of a group.
+func (r *replicas) Change(ctx context.Context, group string, c consensus.Change) error {
+	n := r.nodes[group]
+	if n == nil {
+		return errors.Newf("this host has no replica of group %q", group)
+	}
+	return n.Change(ctx, c)
+}
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"tanagerbarrow/backend"
 )
@@ -12,6 +13,10 @@
 type body interface {
 	// attach gives the body, of the stated length or -1, to the next attempt.
 	attach(a *backend.Attempt, length int64)
+	// sentSince returns when the backend server had the whole body of an attempt
+	// that started at the given time. It is later than the start where the
+	// backend server had to wait for the caller.
+	sentSince(start time.Time) time.Time
 	// replayable reports whether another attempt could send the whole body.
 	replayable() bool
 }
@@ -29,6 +34,8 @@
 
 func (b heldBody) attach(a *backend.Attempt, _ int64) { a.Held = b }
 
+func (b heldBody) sentSince(start time.Time) time.Time { return start }
+
 func (b heldBody) replayable() bool { return true }
 
 // streamedBody passes the caller's body on and notes whether any of it was
@@ -36,6 +43,7 @@
 type streamedBody struct {
 	in      io.Reader
 	touched atomic.Bool
+	ended   atomic.Int64 // nanoseconds since 1970, or 0 before the end
 }
 
 func (b *streamedBody) attach(a *backend.Attempt, length int64) {
@@ -44,8 +52,19 @@
 
 func (b *streamedBody) replayable() bool { return !b.touched.Load() }
 
+func (b *streamedBody) sentSince(start time.Time) time.Time {
+	if ended := time.Unix(0, b.ended.Load()); ended.After(start) {
+		return ended
+	}
+	return start
+}
+
 // Read reads from the caller.
 func (b *streamedBody) Read(p []byte) (int, error) {
 	b.touched.Store(true)
-	return b.in.Read(p)
+	n, err := b.in.Read(p)
+	if err != nil {
+		b.ended.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
