Let the exchange of counts rest while nothing happens

A tick now comes when a request began or ended, at most every 2 ms, and otherwise at the pace of the heartbeats. An entry without requests in progress tells so once a second, and is taken to be out of reach after 2.5 s in place of 250 ms; a busy one as before.

Ruled out: a longer period alone, since the counts must be young under load.

--- a/balance/exchange.go
+++ b/balance/exchange.go
@@ -11,13 +11,17 @@
 	// busyHeartbeat and idleHeartbeat are the longest times without a report,
 	// with and without requests in progress.
 	busyHeartbeat = 8 * time.Millisecond
-	idleHeartbeat = 100 * time.Millisecond
+	idleHeartbeat = time.Second
 	// freshAge is the age of a report up to which its counts hold in full, and
 	// staleAge that from which they hold no more.
 	freshAge = 12 * time.Millisecond
 	staleAge = 25 * time.Millisecond
-	// cutAge is the age from which the teller is taken to be out of reach.
-	cutAge = 250 * time.Millisecond
+	// cutAge is the age from which a teller with requests in progress is taken
+	// to be out of reach, and idleCutAge that of a teller without.
+	cutAge     = 250 * time.Millisecond
+	idleCutAge = 2500 * time.Millisecond
+	// idleTickPeriod is the time between ticks while nothing happens.
+	idleTickPeriod = 50 * time.Millisecond
 	// startGrace is how long an entry trusts a state that it did not see arise.
 	startGrace = 2 * time.Second
 )
@@ -51,16 +55,54 @@
 	return p
 }
 
+// touch makes the next tick due at once.
+func (l *Loads) touch() {
+	if l.dirty.Load() || !l.dirty.CompareAndSwap(false, true) {
+		return
+	}
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
+// Woken receives a value when something happened that the next tick must tell.
+func (l *Loads) Woken() <-chan struct{} { return l.woken }
+
+// TickDue returns how long a tick can wait, at most 0 if it is due: at once after
+// a request began or ended, after an [ExchangePeriod] while a backend server is
+// cold, else at the pace of the heartbeats.
+func (l *Loads) TickDue(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rest := idleTickPeriod
+	switch {
+	case l.dirty.Load():
+		rest = 0
+	case len(l.cold) > 0:
+		rest = ExchangePeriod
+	case l.busy:
+		rest = busyHeartbeat
+	}
+	return rest - now.Sub(l.ticked)
+}
+
 // Tick looks for changed counts, lets old ones fade and moves admissions on. It
-// is called once in each [ExchangePeriod], before the reports.
+// is called when [Loads.TickDue] says so and at most once in an [ExchangePeriod],
+// before the reports.
 func (l *Loads) Tick(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.dirty.Store(false)
 	l.scan++
+	l.ticked = now
+	l.busy = false
 	for _, t := range l.servers {
-		if n := t.Local(); n != t.reported {
+		n := t.Local()
+		if n != t.reported {
 			t.reported, t.changed = n, l.scan
 		}
+		l.busy = l.busy || n != 0
 	}
 	live := l.live()
 	cut := int64(0)
@@ -70,7 +112,7 @@
 		}
 		p := l.peer(name)
 		l.fade(p, now)
-		if now.Sub(p.heardOr(l.started)) > cutAge {
+		if now.Sub(p.heardOr(l.started)) > p.cutAge() {
 			cut++
 		}
 	}
@@ -80,6 +122,15 @@
 	l.tickCold(now)
 }
 
+// cutAge returns the age of the last report from which the peer is taken to be
+// out of reach.
+func (p *peerLoad) cutAge() time.Duration {
+	if p.known && len(p.counts) == 0 {
+		return idleCutAge
+	}
+	return cutAge
+}
+
 // heardOr returns when the peer was last heard, at least the given time.
 func (p *peerLoad) heardOr(least time.Time) time.Time {
 	if p.heard.Before(least) {
@@ -150,6 +201,9 @@
 	if !r.Full && !p.known {
 		return Reply{Lost: true}
 	}
+	if len(r.Phases)+len(r.Wants)+len(r.Suspects)+len(r.Returns) > 0 {
+		l.touch()
+	}
 	if r.Full {
 		l.clear(p)
 		p.known = true
@@ -198,6 +252,9 @@
 		return
 	}
 	p.greeted = true
+	if len(got.Loans) > 0 {
+		l.touch()
+	}
 	p.ackScan = sent.scanned
 	p.ackPhase = sent.phased
 	l.dropReturns(from, len(sent.Returns))
@@ -206,6 +263,7 @@
 
 // Lost notes that a report got no answer. The next one will be full.
 func (l *Loads) Lost(to string) {
+	l.touch()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.peer(to).greeted = false
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -19,7 +19,9 @@
 	live    func() []string
 	started time.Time
 
-	knownShare  atomic.Int64 // thousandths
+	dirty       atomic.Bool   // something happened since the last tick
+	woken       chan struct{} // capacity 1
+	knownShare  atomic.Int64  // thousandths
 	entryNumber atomic.Int64
 
 	mu      sync.Mutex
@@ -29,6 +31,8 @@
 	peers   map[string]*peerLoad
 	phases  map[Key]*phase
 	scan    uint64
+	ticked  time.Time
+	busy    bool // requests were in progress at the last tick
 	cold    map[Key]*Server
 	owned   map[Key]*limit.Admission
 	loans   map[Key][]heldLoan
@@ -59,7 +63,7 @@
 // NewLoads returns the loads of an entry that started now.
 func NewLoads(o Options, now time.Time) *Loads {
 	l := &Loads{
-		self: o.Self, live: o.Live, started: now, loanEnd: o.LoanTimeout,
+		self: o.Self, live: o.Live, started: now, woken: make(chan struct{}, 1), loanEnd: o.LoanTimeout,
 		servers: map[Key]*tracked{}, newest: map[netip.AddrPort]uint64{},
 		usuals: map[string]*serviceLoad{}, peers: map[string]*peerLoad{},
 		phases: map[Key]*phase{}, cold: map[Key]*Server{},
@@ -153,6 +157,7 @@
 		return l.startCold(s)
 	}
 	s.count(1)
+	l.touch()
 	share, entries := l.known()
 	if !s.hasRoom(share, entries, 1) {
 		s.count(-1)
@@ -165,6 +170,7 @@
 func (l *Loads) Finish(st Started, a Answer, now time.Time) {
 	o, suspect := st.Server.judge(a, now)
 	st.Server.count(-1)
+	l.touch()
 	if st.admission == nil && st.loan.ID == 0 && !suspect {
 		return
 	}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -109,16 +109,18 @@
 	return true
 }
 
-// WakeAll serves waiting requests for which there is room now.
-func (b *Balancer) WakeAll() {
+// WakeAll serves waiting requests for which there is room now and reports
+// whether any wait on.
+func (b *Balancer) WakeAll() (waiting bool) {
 	if b.waiting.Load() == 0 {
-		return
+		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, q := range b.queues {
 		b.serve(q)
 	}
+	return b.waiting.Load() > 0
 }
 
 // wake serves waiting requests of one service.
--- a/entry/loadshare.go
+++ b/entry/loadshare.go
@@ -123,20 +123,40 @@
 	return g.Wait()
 }
 
-// tick moves the loads on once in each period.
+// tick moves the loads on after something happened, at most once in each period,
+// and at the pace of the heartbeats otherwise.
 func (l *loadSharer) tick(ctx context.Context) {
-	ticker := time.NewTicker(balance.ExchangePeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(balance.ExchangePeriod)
+	defer timer.Stop()
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			l.loads.Tick(now)
-			l.balancer.WakeAll()
-			l.notify()
+		case <-timer.C:
+		case <-l.loads.Woken():
 		}
+		now := time.Now()
+		if early := balance.ExchangePeriod - now.Sub(last); early > 0 {
+			timer.Reset(early)
+			continue
+		}
+		last = now
+		timer.Reset(l.tickOnce(now))
+	}
+}
+
+// tickOnce moves the loads on if that is due and returns when to look again.
+func (l *loadSharer) tickOnce(now time.Time) time.Duration {
+	waiting := l.balancer.WakeAll()
+	if l.loads.TickDue(now) <= 0 {
+		l.loads.Tick(now)
+		l.notify()
+	}
+	if waiting {
+		return balance.ExchangePeriod
 	}
+	return max(l.loads.TickDue(now), balance.ExchangePeriod)
 }
 
 // notify makes every link look for something to tell.
