--- /dev/null
+++ b/consensus/raft/rules_test.go
@@ -0,0 +1,112 @@
+package raft
+
+import (
+	"errors"
+	"testing"
+)
+
+// threeVoters are the members of the tests below.
+var threeVoters = Membership{Voters: []Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+
+// settle carries out Readys without sending.
+func settle(c *Core) (committed []Entry) {
+	for r := c.Ready(); !r.Empty(); r = c.Ready() {
+		c.Persisted(r)
+		committed = append(committed, r.Committed...)
+	}
+	return committed
+}
+
+// newLeader returns replica 1 as a leader whose term has no committed entry.
+func newLeader(t *testing.T) *Core {
+	t.Helper()
+	c := New(testOptions(1, 1), Restored{})
+	c.Found(threeVoters)
+	settle(c)
+	c.Step(Message{Type: PreVoteReply, From: 2, To: 1, Term: 2})
+	c.Step(Message{Type: VoteReply, From: 2, To: 1, Term: 2})
+	if c.Role() != Leader {
+		t.Fatalf("replica 1 is %s", c.Role())
+	}
+	settle(c)
+	return c
+}
+
+// acknowledge tells the leader that replica 2 has synced everything.
+func acknowledge(c *Core) {
+	c.Step(Message{Type: AppendReply, From: 2, To: 1, Term: c.Term(), Prev: EntryID{Index: c.Last().Index}})
+}
+
+func TestReadWaitsForAnEntryOfTheTerm(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		c := newLeader(t)
+		start := c.Read
+		if later {
+			start = c.ReadLater
+		}
+		start(7)
+		settle(c)
+		c.Step(Message{Type: HeartbeatReply, From: 2, To: 1, Term: 2, ReadSeq: c.readSeq})
+		if r := c.Ready(); len(r.Reads) > 0 {
+			t.Fatalf("a read ended before the term's first commit: %+v", r.Reads)
+		}
+		acknowledge(c)
+		c.broadcastHeartbeat()
+		c.Step(Message{Type: HeartbeatReply, From: 2, To: 1, Term: 2, ReadSeq: c.readSeq})
+		if r := c.Ready(); len(r.Reads) != 1 || r.Reads[0] != (ReadResult{ID: 7, Index: c.Commit()}) {
+			t.Fatalf("a confirmed read ended as %+v", r.Reads)
+		}
+	}
+}
+
+func TestLeaderCountsItselfAfterItsSync(t *testing.T) {
+	c := newLeader(t)
+	at, _ := c.Propose([]byte("command"))
+	r := c.Ready()
+	acknowledge(c)
+	if c.Commit() >= at.Index {
+		t.Fatal("an entry that only one voter has synced is committed")
+	}
+	c.Persisted(r)
+	if c.Commit() != at.Index {
+		t.Fatalf("commit is %d, want %d", c.Commit(), at.Index)
+	}
+}
+
+func TestOneChangeAtATime(t *testing.T) {
+	c := newLeader(t)
+	next := threeVoters.Join(Member{ID: 4, Name: "x"})
+	if _, err := c.ProposeMembership(next); !errors.Is(err, ErrChangePending) {
+		t.Fatalf("a change before the term's first commit ended as %v", err)
+	}
+	acknowledge(c)
+	if _, err := c.ProposeMembership(next); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.ProposeMembership(threeVoters); !errors.Is(err, ErrChangePending) {
+		t.Fatalf("a second change at a time ended as %v", err)
+	}
+	settle(c)
+	acknowledge(c)
+	two := Membership{Voters: threeVoters.Voters[:1]}
+	if _, err := c.ProposeMembership(two); !errors.Is(err, ErrTooManyChanges) {
+		t.Fatalf("a change of two voters ended as %v", err)
+	}
+}
+
+func TestFollowerCommitsOnlyWhatMatches(t *testing.T) {
+	c := New(testOptions(2, 1), Restored{
+		HardState: HardState{Term: 2}, Entries: []Entry{
+			{Index: 1, Term: 1, Type: EntryMembership, Membership: &threeVoters}, {Index: 2, Term: 2}, {Index: 3, Term: 2},
+		},
+	})
+	c.Step(Message{Type: Append, From: 1, To: 2, Term: 3, Prev: EntryID{1, 1}, Commit: 3})
+	if c.Commit() != 1 {
+		t.Fatalf("commit is %d although only entry 1 is known to match", c.Commit())
+	}
+	entries := []Entry{{Index: 2, Term: 3}}
+	c.Step(Message{Type: Append, From: 1, To: 2, Term: 3, Prev: EntryID{1, 1}, Entries: entries, Commit: 2})
+	if r := c.Ready(); len(r.Committed) != 1 {
+		t.Fatalf("%d entries are applied before their sync", len(r.Committed)-1)
+	}
+}
