--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -97,7 +97,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- d.run(ctx) }()
-		time.Sleep(quorumPeriod)
+		time.Sleep(quorumPeriod + time.Millisecond)
+		synctest.Wait()
 		r.cut.Store(true)
 		if _, err := d.watch(ctx, peer.Watch{Host: "e1"}); err == nil {
 			t.Error("a first watch was answered without a quorum")
@@ -114,7 +115,7 @@
 			t.Errorf("past the lease: %v", err)
 		}
 		r.cut.Store(false)
-		time.Sleep(quorumPeriod)
+		time.Sleep(quorumPeriod + time.Millisecond)
 		synctest.Wait()
 		if _, err := d.watch(ctx, peer.Watch{Host: "e1", Known: true}); err != nil {
 			t.Errorf("in touch again: %v", err)
