--- a/balance/pick_bench_test.go
+++ b/balance/pick_bench_test.go
@@ -42,6 +42,7 @@
 			l, c, names := pickWorld(size.servers, size.services)
 			now := time.Now().UnixNano()
 			b.ReportAllocs()
+			b.ResetTimer()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
 					random := rand.Uint64()
