Let an entry without requests admit cold backend servers for others

Cause: an entry learnt of backend servers for its counts when it chose one. An entry without requests (unready, or none sent to it) never did, yet by rendezvous hash it owned the admission of some: it lent nothing, and the other entries sent those servers no work, for good.

Ruled out: stale latency estimates (the choice disregards the way in one of 16, and both servers were idle), and membership (the tables were complete).

Entries now take the newest view in with each tick.

--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -55,6 +55,15 @@
 	config *state.Configuration
 }
 
+// Refresh takes the newest view and configuration in. An entry calls it also
+// without requests of its own, because it may own the admission of backend
+// servers that others send requests to.
+func (b *Balancer) Refresh() {
+	if b.Configuration() != nil {
+		b.choices()
+	}
+}
+
 // choices returns the choices for the newest view and configuration.
 func (b *Balancer) choices() *choices {
 	view, config := b.Members(), b.Configuration()
--- a/entry/loadshare.go
+++ b/entry/loadshare.go
@@ -148,6 +148,7 @@
 
 // tickOnce moves the loads on if that is due and returns when to look again.
 func (l *loadSharer) tickOnce(now time.Time) time.Duration {
+	l.balancer.Refresh()
 	waiting := l.balancer.WakeAll()
 	if l.loads.TickDue(now) <= 0 {
 		l.loads.Tick(now)
