Send retries over new connections, and hold the idle owner by a test that fails

All attempts but the first now use a new connection. A server that has gone refuses the dial, which proves that nothing ran and is no crash; a new connection that breaks still is one. Ruled out: not counting reused connections, since a request that crashes servers mostly meets reused ones.

TestReadOutlivesPooledConnectionsOfALostZone fails without the change.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -41,15 +41,21 @@
 	SilenceLimit time.Duration
 	// MaxIdle bounds how long a reused connection was idle; 0 means any time.
 	MaxIdle time.Duration
+	// Fresh asks for a new connection.
+	Fresh bool
 }
 
 // provenSince returns since when a reused connection must have carried a whole
 // answer.
 func (a *Attempt) provenSince() time.Time {
-	if a.MaxIdle == 0 {
+	switch {
+	case a.Fresh:
+		return time.Now()
+	case a.MaxIdle == 0:
 		return time.Time{}
+	default:
+		return time.Now().Add(-a.MaxIdle)
 	}
-	return time.Now().Add(-a.MaxIdle)
 }
 
 // streams reports whether the body is sent while the answer is awaited.
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -58,3 +58,46 @@
 		}
 	}
 }
+
+// lostZone stands for backend servers of which all but one have gone, with
+// connections to each in the pool: a reused one breaks, a dial is refused.
+type lostZone struct{ left netip.AddrPort }
+
+func (l lostZone) Exchange(_ context.Context, to *membership.BackendServer, a *backend.Attempt) (*http.Response, error) {
+	switch {
+	case to.Address == l.left:
+		return responseOf(0, http.NoBody), nil
+	case a.Fresh:
+		return nil, verdict.New(verdict.NotRun, http.StatusBadGateway, backend.CodeDialFailed, "refused")
+	default:
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, backend.CodeConnectionLost, "broken")
+	}
+}
+
+// A read must outlive the loss of a zone although its connections to several of
+// the zone's backend servers break like those of servers that it crashed.
+func TestReadOutlivesPooledConnectionsOfALostZone(t *testing.T) {
+	view := &membership.View{Services: map[string][]membership.BackendServer{}}
+	var last netip.AddrPort
+	for port := range uint16(5) {
+		last = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1)
+		view.Services["s"] = append(view.Services["s"], membership.BackendServer{
+			Service: "s", Address: last, AvailabilityZone: "a", Slots: 2, Generation: 1,
+		})
+	}
+	d := &Dispatcher{
+		Exchanger: lostZone{left: last}, Retries: limit.NewRetryBudget(),
+		Balancer: &RoundRobin{
+			Members: func() *membership.View { return view }, Configuration: state.NewConfiguration,
+			Regions: map[string]string{"a": "north"},
+		},
+	}
+	for range view.Services["s"] {
+		r := &request.Request{Service: state.Service{Name: "s"}, Class: request.Read, Deadline: time.Now().Add(time.Hour)}
+		res, err := d.Dispatch(context.Background(), r, httptest.NewRequest(http.MethodGet, "/s/x", nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -90,7 +90,9 @@
 
 // attempts sends the request to one backend server after another until one
 // answers or a failure forbids a retry. A failed dial costs nothing of the retry
-// budget.
+// budget. All attempts but the first go over new connections: where the first
+// broke because its backend server had gone, others may have gone with it, and a
+// refused dial tells that without counting as a crash.
 func (d *Dispatcher) attempts(ctx context.Context, r *request.Request, h *http.Request, body body) (*http.Response, error) {
 	d.Retries.Request()
 	var tried []netip.AddrPort
@@ -102,7 +104,9 @@
 			break
 		}
 		to := started.Server.Record.Address
-		res, err := d.send(ctx, started, r, h, body)
+		attempt := newAttempt(r, h, body)
+		attempt.Fresh = last != nil
+		res, err := d.send(ctx, started, attempt, body)
 		if err == nil {
 			return res, nil
 		}
@@ -180,12 +184,10 @@
 
 // send sends one attempt and counts it until its answer is whole or closed. It
 // holds the beginning of the answer, so that an answer cut there is an error.
-func (d *Dispatcher) send(
-	ctx context.Context, on balance.Started, r *request.Request, h *http.Request, b body,
-) (*http.Response, error) {
+func (d *Dispatcher) send(ctx context.Context, on balance.Started, a *backend.Attempt, b body) (*http.Response, error) {
 	start := time.Now()
 	to := &on.Server.Record
-	res, err := d.Exchanger.Exchange(ctx, to, newAttempt(r, h, b))
+	res, err := d.Exchanger.Exchange(ctx, to, a)
 	whole := false
 	if err == nil {
 		whole, err = holdAnswer(ctx, res, to)
--- a/dispatch/pick_test.go
+++ b/dispatch/pick_test.go
@@ -12,44 +12,45 @@
 )
 
 // A cold backend server must be admitted also where its owner has no requests of
-// its own.
+// its own. Which entry owns it depends on its address, so several are tried.
 func TestIdleOwnerAdmitsForOthers(t *testing.T) {
+	for port := range uint16(8) {
+		if !admitted(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1)) {
+			t.Errorf("the entry was never let send to the cold backend server with port %d", port+1)
+		}
+	}
+}
+
+// admitted reports whether the first of two entries, which alone has requests, is
+// let send one to a cold backend server.
+func admitted(address netip.AddrPort) bool {
 	now := time.Now()
 	names := []string{"e1", "e2"}
 	view := &membership.View{Services: map[string][]membership.BackendServer{"s": {{
-		Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9000"), AvailabilityZone: "a",
-		Slots: 2, Generation: 1, State: membership.Cold,
+		Service: "s", Address: address, AvailabilityZone: "a", Slots: 2, Generation: 1, State: membership.Cold,
 	}}}}
 	config := state.NewConfiguration()
-	entries := map[string]*Balancer{}
+	var entries []*Balancer
 	for _, name := range names {
-		entries[name] = &Balancer{
+		entries = append(entries, &Balancer{
 			Members: func() *membership.View { return view }, Configuration: func() *state.Configuration { return config },
 			Place: balance.Place{AvailabilityZone: "a", Regions: map[string]string{"a": "north"}},
 			Loads: balance.NewLoads(balance.Options{Self: name, Live: func() []string { return names }}, now),
-		}
+		})
 	}
-	r := &request.Request{Service: state.Service{Name: "s"}}
-	for _, asking := range names {
-		ok := false
-		for range 20 {
-			now = now.Add(balance.ExchangePeriod)
-			for _, b := range entries {
-				b.Refresh()
-				b.Loads.Tick(now)
-			}
-			started, got, _ := entries[asking].start(r, nil, 0)
-			if got {
-				entries[asking].Release(started, balance.Answer{Kind: balance.Good})
-				ok = true
-			}
-			tell(entries["e1"].Loads, entries["e2"].Loads, "e2", now)
-			tell(entries["e2"].Loads, entries["e1"].Loads, "e1", now)
+	for range 20 {
+		now = now.Add(balance.ExchangePeriod)
+		for _, b := range entries {
+			b.Refresh()
+			b.Loads.Tick(now)
 		}
-		if !ok {
-			t.Fatalf("entry %q was never let send to the cold backend server", asking)
+		if _, ok, _ := entries[0].start(&request.Request{Service: state.Service{Name: "s"}}, nil, 0); ok {
+			return true
 		}
+		tell(entries[0].Loads, entries[1].Loads, "e2", now)
+		tell(entries[1].Loads, entries[0].Loads, "e1", now)
 	}
+	return false
 }
 
 // tell sends the report of one entry to another, if there is one.
