Forget the counts and loans of entries that have gone

Cause: the last counts that an entry told faded only while the entry was among the live ones. An entry that stopped gracefully left them at once, so that a request it had told of counted for good: a cold server with a limit of one got no work any more, and a warm one less. The counts of all entries now fade.

Found on the way: a loan to an entry that has gone kept its room for twice the request timeout, a minute; it now ends 5 s after the entry has gone.

TestCountsOfAGoneEntryFade and TestLoanOfAGoneEntryComesBack fail without the changes.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,7 +13,9 @@
 const (
 	// ownerSilence is how long an owner may be silent before the next entry in
 	// rendezvous order takes its place.
-	ownerSilence = time.Second
+	ownerSilence = idleCutAge
+	// lostLoanTime is how long the loans of an entry count on after it has gone.
+	lostLoanTime = 5 * time.Second
 	// loanRest is how long a loan waits for a request before it goes back.
 	loanRest = 20 * time.Millisecond
 	// farColdTime is how long a restarted backend server of another region is
@@ -123,11 +126,15 @@
 		if !ok {
 			a = l.own(key, s)
 		}
+		a.Shorten(l.gone, now.Add(lostLoanTime))
 		a.Expire(now)
 		l.settle(key, s, a)
 	}
 }
 
+// gone reports whether an entry is not among the live ones.
+func (l *Loads) gone(entry string) bool { return !slices.Contains(l.live(), entry) }
+
 // own starts an admission. Its epoch is new, so that loans of an earlier one
 // cannot be taken for its own.
 func (l *Loads) own(key Key, s *Server) *limit.Admission {
@@ -216,8 +223,8 @@
 	}
 }
 
-// lend lends one share of each wanted backend server that has room.
-func (l *Loads) lend(wants []Phase, now time.Time) []Loan {
+// lend lends the entry one share of each wanted backend server that has room.
+func (l *Loads) lend(to string, wants []Phase, now time.Time) []Loan {
 	var loans []Loan
 	for _, want := range wants {
 		key := want.Key
@@ -227,7 +234,7 @@
 		if !ok || s == nil || s.room.Load() <= 0 {
 			continue
 		}
-		if id, ok := a.Lend(now.Add(l.loanEnd)); ok {
+		if id, ok := a.Lend(to, now.Add(l.loanEnd)); ok {
 			loans = append(loans, Loan{Key: key, ID: id, Epoch: l.phaseOf(key).epoch})
 			l.settle(key, s, a)
 		}
--- a/balance/exchange.go
+++ b/balance/exchange.go
@@ -122,6 +122,9 @@
 		l.busy = l.busy || n != 0
 	}
 	l.quiet.Store(float64(used) < quietShare*float64(slots))
+	for _, p := range l.peers {
+		l.fade(p, now)
+	}
 	live := l.live()
 	cut := int64(0)
 	for _, name := range live {
@@ -129,7 +132,6 @@
 			continue
 		}
 		p := l.peer(name)
-		l.fade(p, now)
 		if now.Sub(p.heardOr(l.started)) > p.cutAge() {
 			cut++
 		}
@@ -238,7 +240,7 @@
 	for _, back := range r.Returns {
 		l.acceptReturn(back)
 	}
-	return Reply{Loans: l.lend(r.Wants, now)}
+	return Reply{Loans: l.lend(r.From, r.Wants, now)}
 }
 
 // setCount replaces one count of a peer.
--- /dev/null
+++ b/balance/loan_test.go
@@ -0,0 +1,62 @@
+package balance
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"tanagerbarrow/membership"
+)
+
+// The share of a cold backend server that was lent to an entry must come back
+// soon after that entry has gone, not when its longest request would have ended.
+func TestLoanOfAGoneEntryComesBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	live := []string{"e1", "e2"}
+	l := NewLoads(Options{Self: "e1", Live: func() []string { return live }, LoanTimeout: time.Minute}, now)
+	var server *Server
+	for port := uint16(1); ; port++ {
+		server = l.Server(membership.BackendServer{
+			Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), Slots: 2, Generation: 1, State: membership.Cold,
+		}, false, now)
+		if l.owner(server.Key(), now) == "e1" {
+			break
+		}
+	}
+	l.Tick(now)
+	want := Report{From: "e2", Full: true, Wants: []Phase{{Key: server.Key(), Epoch: l.phaseOf(server.Key()).epoch, Cold: true}}}
+	if got := l.Accept(want, now); len(got.Loans) != 1 {
+		t.Fatalf("lent %+v, want one loan", got.Loans)
+	}
+	live = []string{"e1"}
+	for _, c := range []struct {
+		after time.Duration
+		room  bool
+	}{{0, false}, {lostLoanTime, false}, {lostLoanTime + 1, true}} {
+		l.Tick(now.Add(c.after))
+		if got := server.room.Load() > 0; got != c.room {
+			t.Fatalf("room %s after the borrower was gone: %t, want %t", c.after, got, c.room)
+		}
+	}
+}
+
+// The counts that an entry told last must fade also when the entry leaves the
+// live ones before they are old.
+func TestCountsOfAGoneEntryFade(t *testing.T) {
+	now := time.Unix(1000, 0)
+	live := []string{"e1", "e2"}
+	l := NewLoads(Options{Self: "e1", Live: func() []string { return live }}, now)
+	server := l.Server(membership.BackendServer{
+		Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9000"), Slots: 2, Generation: 1, State: membership.Ready,
+	}, false, now)
+	l.Tick(now)
+	l.Accept(Report{From: "e2", Full: true, Counts: []Count{{Key: server.Key(), InFlight: 1}}}, now)
+	if server.Total() != 1 {
+		t.Fatalf("%d requests counted, want the one told", server.Total())
+	}
+	live = []string{"e1"}
+	l.Tick(now.Add(staleAge + 1))
+	if server.Total() != 0 {
+		t.Fatalf("%d requests of the gone entry still count", server.Total())
+	}
+}
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -36,14 +36,20 @@
 	limit int64
 	score int
 	used  int64
-	lent  map[uint64]time.Time
+	lent  map[uint64]loan
 	next  uint64
 	warm  bool
 }
 
+// loan is room lent to another entry for one request.
+type loan struct {
+	to      string
+	expires time.Time
+}
+
 // NewAdmission returns the admission of a cold backend server: one request.
 func NewAdmission(slots int) *Admission {
-	return &Admission{slots: int64(slots), limit: 1, lent: map[uint64]time.Time{}}
+	return &Admission{slots: int64(slots), limit: 1, lent: map[uint64]loan{}}
 }
 
 // Limit returns the bound on all requests in progress.
@@ -70,14 +76,14 @@
 	a.learn(o)
 }
 
-// Lend takes room for one request of another entry. The loan counts as in use
-// until it is returned, or until expires, by when the request must have ended.
-func (a *Admission) Lend(expires time.Time) (id uint64, ok bool) {
+// Lend takes room for one request of the entry named to. The loan counts as in
+// use until it is returned, or until expires, by when the request must have ended.
+func (a *Admission) Lend(to string, expires time.Time) (id uint64, ok bool) {
 	if a.InUse() >= a.limit {
 		return 0, false
 	}
 	a.next++
-	a.lent[a.next] = expires
+	a.lent[a.next] = loan{to: to, expires: expires}
 	return a.next, true
 }
 
@@ -92,13 +98,23 @@
 
 // Expire ends loans that were never returned.
 func (a *Admission) Expire(now time.Time) {
-	for id, expires := range a.lent {
-		if now.After(expires) {
+	for id, l := range a.lent {
+		if now.After(l.expires) {
 			delete(a.lent, id)
 		}
 	}
 }
 
+// Shorten lets the loans of entries that are gone end at the given time, unless
+// they end before.
+func (a *Admission) Shorten(gone func(entry string) bool, end time.Time) {
+	for id, l := range a.lent {
+		if gone(l.to) && end.Before(l.expires) {
+			a.lent[id] = loan{to: l.to, expires: end}
+		}
+	}
+}
+
 // learn moves the ramp by the outcome of one request.
 func (a *Admission) learn(o Outcome) {
 	switch o {
