--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	bin/demo
 
 test: ## Runs every test with the race detector.
-	go test -race -timeout 8m $(TESTFLAGS) $(PACKAGES)
+	go test -race -count=1 -timeout 8m $(TESTFLAGS) $(PACKAGES)
 
 lint: bin/golangci-lint ## Checks format and style.
 	bin/golangci-lint fmt --diff ./... 
