--- a/bench/integration/control_test.go
+++ b/bench/integration/control_test.go
@@ -171,16 +171,19 @@
 }
 
 // replaceAndLoseAnother empties one disk, waits until the new replica votes, and
-// kills another voter at once.
+// kills two other voters at once.
 func (o *operators) replaceAndLoseAnother() {
 	lost := o.leader()
 	o.kill(o.Controls[lost].Name)
 	o.loseDisk(lost)
 	o.restart(lost)
-	o.eventually("the new replica votes and the old one left", func() bool {
-		s, err := o.client(lost).Status()
-		return err == nil && len(s.Replica.Members.Voters) == len(o.Controls) &&
-			s.Replica.Members.IsVoter(s.Replica.Identity)
+	// Each group exchanges the replica by itself. Until one has done so it holds
+	// one lost voter, and the two kills below would leave it without a quorum.
+	o.eventually("the new replica votes in both common groups and the old one left", func() bool {
+		groups, err := o.client(lost).Replicas()
+		return err == nil && !slices.ContainsFunc(groups[:2], func(s consensus.Status) bool {
+			return len(s.Members.Voters) != len(o.Controls) || !s.Members.IsVoter(s.Identity)
+		})
 	})
 	second := o.leader()
 	if second == lost {
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,3 +112,31 @@
 		}
 	})
 }
+
+// TestChangeOutlivesALostAnswer breaks the connection to the leader while it
+// carries out a removal: the follower that was asked sends it again.
+func TestChangeOutlivesALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 4)
+		defer g.stop()
+		leader := g.leader()
+		via := other(g, leader)
+		gone := g.processes[0]
+		for _, p := range g.processes {
+			if p != leader && p != via {
+				gone = p
+			}
+		}
+		var broken atomic.Bool
+		g.calling = func(_, _ string, r Request) error {
+			if r.Kind == RequestChange && broken.CompareAndSwap(false, true) {
+				return errLost
+			}
+			return nil
+		}
+		if err := via.node.Change(t.Context(), Change{Kind: RemoveReplica, Name: gone.name}); err != nil {
+			t.Fatalf("the removal ended with %v", err)
+		}
+		g.eventually("the host left", func() bool { return len(leader.node.Status().Voters) == 3 })
+	})
+}
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -85,7 +85,7 @@
 }
 
 // onLeader carries out a request on the leader: here, or on the host that
-// leads. It tries again while it is proved that nothing was committed.
+// leads. It tries again while that cannot commit anything twice.
 func (n *Node) onLeader(ctx context.Context, r Request, here func(context.Context) outcome) outcome {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -95,7 +95,7 @@
 	out := outcome{err: n.noLeader()}
 	for ctx.Err() == nil {
 		out = n.tryLeader(ctx, r, here)
-		if out.err == nil || verdict.Of(out.err) != verdict.NotRun {
+		if out.err == nil || !repeatable(r, out.err) {
 			return out
 		}
 		if !n.pause(ctx, leaderPause) {
@@ -105,6 +105,13 @@
 	return out
 }
 
+// repeatable reports whether a failed request can be sent again. A membership
+// change can, whatever became of it: it names what shall hold, so one that has
+// been carried out changes nothing when it comes again.
+func repeatable(r Request, err error) bool {
+	return r.Kind == RequestChange || verdict.Of(err) == verdict.NotRun
+}
+
 // tryLeader carries out a request on the leader that is known now.
 func (n *Node) tryLeader(ctx context.Context, r Request, here func(context.Context) outcome) outcome {
 	status := n.Status()
--- a/consensus/raft/core.go
+++ b/consensus/raft/core.go
@@ -147,8 +147,13 @@
 		return
 	}
 	alone := len(c.members().Voters) == 1 && c.members().IsVoter(c.id)
-	if (c.elapsed >= c.timeout || alone) && c.mayCampaign() {
+	switch {
+	case c.elapsed < c.timeout && !alone:
+	case c.mayCampaign():
 		c.campaign(PreCandidate, false)
+	case c.leader != 0:
+		// A learner cannot elect another leader, but must not name a silent one.
+		c.becomeFollower(c.term, 0)
 	}
 }
 
--- a/consensus/raft/rules_test.go
+++ b/consensus/raft/rules_test.go
@@ -110,3 +110,19 @@
 		t.Fatalf("%d entries are applied before their sync", len(r.Committed)-1)
 	}
 }
+
+// TestLearnerForgetsASilentLeader lets the leader of a learner fall silent: the
+// learner, which never campaigns, must not go on naming it.
+func TestLearnerForgetsASilentLeader(t *testing.T) {
+	learner := New(testOptions(4, 4), Restored{})
+	learner.Step(Message{Type: Heartbeat, From: 1, To: 4, Term: 2})
+	if got := learner.LeaderID(); got != 1 {
+		t.Fatalf("the learner names %d after a heartbeat, want 1", got)
+	}
+	for range 2 * learner.opts.ElectionTicks {
+		learner.Tick()
+	}
+	if got := learner.LeaderID(); got != 0 {
+		t.Fatalf("the learner still names %d after two election timeouts of silence", got)
+	}
+}
