--- a/broker/broker.go
+++ b/broker/broker.go
@@ -29,6 +29,9 @@
 	// ColdFrom is when cold servers may get requests: before that, another
 	// broker may have granted some.
 	ColdFrom time.Time
+	// KnownFrom is when the broker has heard of the servers that are up. Before
+	// that nothing is refused for want of room.
+	KnownFrom time.Time
 }
 
 // DefaultSilence is three of the users' heartbeat intervals.
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -166,6 +166,34 @@
 	w.granted("e1", nil)
 }
 
+// TestNewBrokerHearsOfItsServersFirst asks a new broker that knows one server of
+// two slots for six: the ones without a slot wait for the servers that it hears
+// of next, and are refused only after their time.
+func TestNewBrokerHearsOfItsServersFirst(t *testing.T) {
+	w := newWorld(t, "a")
+	w.options.KnownFrom = w.now.Add(100 * time.Millisecond)
+	for range 6 {
+		if o := w.ask("e1", func(a *Ask) { a.ObjectiveMillis = 210 }); o.Refusal != nil {
+			t.Fatalf("refused before the servers are known: %+v", o.Refusal)
+		}
+	}
+	w.now = w.now.Add(40 * time.Millisecond)
+	w.announce("later", "a", 0)
+	granted := 0
+	for _, o := range w.Take() {
+		if o.Grant != nil {
+			granted++
+		}
+	}
+	if granted != 2 {
+		t.Errorf("%d of the waiting asks were granted the two new slots", granted)
+	}
+	w.now = w.now.Add(100 * time.Millisecond)
+	if o := w.ask("e1", func(a *Ask) { a.ObjectiveMillis = 210 }); o.Refusal == nil {
+		t.Error("an ask that can't be served waits though the servers are known")
+	}
+}
+
 // TestZoneComesBackCold takes a zone out and back: nothing is granted there
 // while it is out, and its servers count as cold afterwards.
 func TestZoneComesBackCold(t *testing.T) {
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -154,8 +154,13 @@
 }
 
 // hopeless reports whether an ask can't be served in its time: the asks before
-// it need longer than it may wait.
+// it need longer than it may wait. A new broker after a loss of power, which
+// hears of one server after the other while the entries pass on all that they
+// hold, can't know that.
 func (b *Broker) hopeless(p *pool, w *waiting, now time.Time) (Reason, bool) {
+	if now.Before(b.options.KnownFrom) {
+		return ReasonOverload, len(p.queue) >= maxQueue
+	}
 	all, _ := p.slots(b, now)
 	if all == 0 && !b.anyUsable(p, w, now) {
 		return ReasonNoServer, true
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -33,6 +33,10 @@
 	// coldPause keeps a new broker from granting cold servers what another one
 	// may have granted within the second before.
 	coldPause = 1300 * time.Millisecond
+	// learnPause is how long a new broker takes to hear of its servers: the other
+	// control hosts' records come in a round trip between regions, the heartbeats
+	// that servers repeat after a loss of power within some more.
+	learnPause = 250 * time.Millisecond
 	// leaverRetryMillis is when a request whose server has just left may come
 	// back: the broker knows the others then.
 	leaverRetryMillis = 50
@@ -77,6 +81,7 @@
 			Regions: c.options.Settings.Regions, Zone: c.self.AvailabilityZone, RetryRatio: b.RetryRatio, RetryExtra: b.RetryExtra,
 			RetryWindow: b.RetryWindow, Silence: lostHeartbeats * c.options.Settings.HeartbeatInterval, Random: rand.New(rand.NewPCG(rand.Uint64(), term)),
 			FirstGrant: term * grantsPerTerm, ColdFrom: time.Now().Add(coldPause),
+			KnownFrom: time.Now().Add(learnPause),
 		}),
 	}
 	l.until.Store(int64(until))
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -75,12 +75,16 @@
 	}
 }
 
-// run keeps the session connected until ctx ends.
+// run keeps the session connected until ctx ends. It follows a control host's
+// word about the leader at once, but only one: two hosts may each name the other.
 func (s *session) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if address := s.candidate(); address != "" {
 			s.visit(ctx, address)
 		}
+		if address := s.namedLeader(); address != "" {
+			s.visit(ctx, address)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(searchPause):
@@ -88,14 +92,23 @@
 	}
 }
 
-// candidate returns the leader's address, or any control host's.
-func (s *session) candidate() string {
+// namedLeader returns the address of the leader that a control host has named
+// since the last call, or none.
+func (s *session) namedLeader() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if leader := s.leader; leader != "" {
-		s.leader = ""
+	leader := s.leader
+	s.leader = ""
+	return leader
+}
+
+// candidate returns the leader's address, or any control host's.
+func (s *session) candidate() string {
+	if leader := s.namedLeader(); leader != "" {
 		return leader
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	at := rand.IntN(max(1, len(s.known)))
 	for address := range s.known {
 		if at--; at < 0 {
