--- a/broker/load_test.go
+++ b/broker/load_test.go
@@ -102,3 +102,18 @@
 		}
 	}
 }
+
+// TestRequestsStayInTheirZone replays half of the load with two zones in each
+// region. Servers chosen without regard to zones would make half of the requests
+// cross; bytes between zones cost a quarter of those between regions, so three in
+// ten may, where the servers of the zone are slow or nearly full.
+func TestRequestsStayInTheirZone(t *testing.T) {
+	for seed := range uint64(3) {
+		l := stock(165, seed)
+		l.regions, l.zones, l.entries, l.answerBytes = 3, 2, 18, 5000
+		r := newSim(l).run()
+		if r.share() < inTimeUnderLoad || float64(r.crossedZone) > 0.3*float64(r.owed) {
+			t.Errorf("seed %d: %s, %d crossed zones", seed, r, r.crossedZone)
+		}
+	}
+}
--- a/broker/place.go
+++ b/broker/place.go
@@ -18,9 +18,9 @@
 	// links between regions are the first to be lossy or cut.
 	regionCost = 50 * time.Millisecond
 	// zoneByteCost and regionByteCost are what a kilobyte on the way to another
-	// zone or region is worth in waiting: the users pay for both, several times
-	// more between regions.
-	zoneByteCost   = time.Millisecond
+	// zone or region is worth in waiting: the users pay for both, about four times
+	// as much between regions.
+	zoneByteCost   = 5 * time.Millisecond
 	regionByteCost = 20 * time.Millisecond
 	// nearWeight is how long a request waits for a server of its region, as part of
 	// the cost of the way to another one: the nearer server is only likely to come
--- a/broker/sim_test.go
+++ b/broker/sim_test.go
@@ -31,9 +31,9 @@
 	// urgent is the part of the requests with priority 0; the others have 2.
 	urgent float64
 	seed   uint64
-	// regions and entries are how many there are; 0 stands for 1. Servers and
-	// entries are spread evenly over the regions.
-	regions, entries int
+	// regions, zones of each region and entries are how many there are; 0 stands
+	// for 1. Servers and entries are spread evenly over the zones.
+	regions, zones, entries int
 	// answerBytes is the size of an answer.
 	answerBytes int
 }
@@ -42,8 +42,9 @@
 type result struct {
 	owed, inTime, late, refused, lost int
 	urgent, urgentInTime              int
-	// crossed counts the granted requests that left their region.
-	crossed int
+	// crossed and crossedZone count the granted requests that left their region
+	// and their zone.
+	crossed, crossedZone int
 }
 
 // share is the part of the requests that were answered within the objective.
@@ -96,7 +97,7 @@
 	queue   events
 	count   int
 	running map[uint32]int
-	region  map[uint32]int
+	zone    map[uint32]int
 	phase   map[uint32]time.Duration
 	asks    map[uint64]*simCall
 	nextAsk uint64
@@ -113,7 +114,7 @@
 	entry int
 }
 
-// simEntry and simZone name an entry and the zone of a region.
+// simEntry and simZone name an entry and a zone.
 func simEntry(n int) string { return fmt.Sprint("e", n) }
 func simZone(n int) string  { return fmt.Sprint("z", n) }
 
@@ -131,14 +132,15 @@
 
 // newSim prepares a replay.
 func newSim(l load) *sim {
-	l.regions, l.entries = max(1, l.regions), max(1, l.entries)
+	l.regions, l.zones, l.entries = max(1, l.regions), max(1, l.zones), max(1, l.entries)
+	all := l.regions * l.zones
 	regions := map[string]string{"broker": "far"}
-	for n := range l.regions {
-		regions[simZone(n)] = fmt.Sprint("r", n)
+	for n := range all {
+		regions[simZone(n)] = fmt.Sprint("r", n%l.regions)
 	}
 	s := &sim{
 		load: l, random: rand.New(rand.NewPCG(l.seed, 7)), running: map[uint32]int{},
-		region: map[uint32]int{},
+		zone: map[uint32]int{},
 		phase:  map[uint32]time.Duration{}, asks: map[uint64]*simCall{},
 		b: New(Options{
 			Regions: regions, Zone: "broker", RetryRatio: 0.2, RetryExtra: 64,
@@ -149,15 +151,15 @@
 	for n := range l.servers {
 		server := s.b.Announce(registry.Record{
 			BackendServer: registry.BackendServer{
-				ID: fmt.Sprint(n), Service: "s", Address: fmt.Sprint("a", n), AvailabilityZone: simZone(n % l.regions), Slots: l.slots,
+				ID: fmt.Sprint(n), Service: "s", Address: fmt.Sprint("a", n), AvailabilityZone: simZone(n % all), Slots: l.slots,
 			}, Heard: start.Add(time.Hour),
 		}, s.clock())
-		s.region[server.Number] = n % l.regions
+		s.zone[server.Number] = n % all
 		s.phase[server.Number] = time.Duration(s.random.Int64N(int64(simInterval)))
 		s.sample(server.Number)
 	}
 	for n := range l.entries {
-		s.b.Connect(simEntry(n), simZone(n%l.regions), nil, s.clock())
+		s.b.Connect(simEntry(n), simZone(n%all), nil, s.clock())
 	}
 	return s
 }
@@ -264,7 +266,11 @@
 	delete(s.asks, g.Seq)
 	s.running[g.Server]++
 	crossing := time.Duration(0)
-	if s.region[g.Server] != c.entry%s.regions {
+	from, to := c.entry%(s.regions*s.zones), s.zone[g.Server]
+	if from != to {
+		s.result.crossedZone++
+	}
+	if from%s.regions != to%s.regions {
 		s.result.crossed++
 		crossing = 2 * simCrossing
 	}
