--- a/broker/sim_test.go
+++ b/broker/sim_test.go
@@ -140,8 +140,8 @@
 	}
 	s := &sim{
 		load: l, random: rand.New(rand.NewPCG(l.seed, 7)), running: map[uint32]int{},
-		zone: map[uint32]int{},
-		phase:  map[uint32]time.Duration{}, asks: map[uint64]*simCall{},
+		zone:  map[uint32]int{},
+		phase: map[uint32]time.Duration{}, asks: map[uint64]*simCall{},
 		b: New(Options{
 			Regions: regions, Zone: "broker", RetryRatio: 0.2, RetryExtra: 64,
 			RetryWindow: 10 * time.Second, Random: rand.New(rand.NewPCG(l.seed, 8)),
