--- /dev/null
+++ b/coordinator/checks_test.go
@@ -0,0 +1,68 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// TestEntriesKeepTheirChecks takes half of the entries away and back. Only the
+// servers that lose their entry may move: an entry that gets a server anew needs
+// seconds to learn its rhythm, and until then the broker knows its pace badly.
+func TestEntriesKeepTheirChecks(t *testing.T) {
+	all := map[string][]string{}
+	half := map[string][]string{}
+	var servers []checked
+	for n := range 36 {
+		zone := fmt.Sprint("z", n%3)
+		name := fmt.Sprint("e", n)
+		all[zone] = append(all[zone], name)
+		if n%2 == 0 {
+			half[zone] = append(half[zone], name)
+		}
+		servers = append(servers, checked{uint32(2 * n), zone}, checked{uint32(2*n + 1), zone})
+	}
+	first := assignChecks(nil, servers, all)
+	fewer := assignChecks(first, servers, half)
+	back := assignChecks(fewer, servers, all)
+	for step, got := range []map[string][]uint32{first, fewer, back} {
+		checkAssigned(t, step, got, servers)
+	}
+	for name, had := range first {
+		kept := fewer[name]
+		if kept == nil {
+			continue
+		}
+		for _, number := range had {
+			if !slices.Contains(kept, number) {
+				t.Errorf("server %d left %s, which stayed", number, name)
+			}
+		}
+	}
+	for name, had := range fewer {
+		for _, number := range had {
+			if !slices.Contains(back[name], number) {
+				t.Errorf("server %d left %s when others came back", number, name)
+			}
+		}
+	}
+}
+
+// checkAssigned holds that each server has one entry and none has too many.
+func checkAssigned(t *testing.T, step int, got map[string][]uint32, servers []checked) {
+	t.Helper()
+	seen := map[uint32]int{}
+	for name, numbers := range got {
+		if len(numbers) > 8 {
+			t.Errorf("step %d: %s has %d checks", step, name, len(numbers))
+		}
+		for _, number := range numbers {
+			seen[number]++
+		}
+	}
+	for _, s := range servers {
+		if seen[s.number] != 1 {
+			t.Errorf("step %d: server %d has %d entries", step, s.number, seen[s.number])
+		}
+	}
+}
