--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -194,6 +194,23 @@
 	}
 }
 
+// TestWatchedPaceHolds samples a server whose rhythm its entry still learns. The
+// entry would have told a change, so that the pace holds until the next sample,
+// and a request is granted at once though others wait for better machines.
+func TestWatchedPaceHolds(t *testing.T) {
+	w := newWorld(t, "a", "a")
+	w.pool("s").pace = 200
+	slow, steady := w.byID["server0"], w.byID["server1"]
+	w.Sample(Sample{Server: slow.Number, Healthy: true, Pace: 500, ColdMillis: -1, Running: -1}, w.now)
+	w.Sample(Sample{Server: steady.Number, Healthy: true, Pace: 100, ColdMillis: -1, Running: -1}, w.now)
+	w.now = w.now.Add(200 * time.Millisecond)
+	for range 2 {
+		if o := w.granted("e1", nil); o.Server != steady {
+			t.Errorf("granted %s, whose machine is slow", o.Server.Record.ID)
+		}
+	}
+}
+
 // TestZoneComesBackCold takes a zone out and back: nothing is granted there
 // while it is out, and its servers count as cold afterwards.
 func TestZoneComesBackCold(t *testing.T) {
--- a/broker/learn.go
+++ b/broker/learn.go
@@ -125,9 +125,9 @@
 	}
 	b.notePace(s, m.Pace, now)
 	s.noteRunning(m.Running, now)
-	s.paceUntil = time.Time{}
+	s.paceUntil, s.watchedTo = time.Time{}, now.Add(watchHold)
 	if m.HoldsMillis > 0 {
-		s.paceUntil = now.Add(millis(m.HoldsMillis))
+		s.paceUntil, s.watchedTo = now.Add(millis(m.HoldsMillis)), time.Time{}
 	}
 	s.unhealthy = !m.Healthy
 	if m.Healthy {
--- a/broker/place.go
+++ b/broker/place.go
@@ -194,6 +194,9 @@
 		}
 		return p.pace / usualPace
 	}
+	if now.Before(s.watchedTo) {
+		return float64(s.pace) / usualPace
+	}
 	trust := math.Exp(-float64(now.Sub(s.paceAt)) / float64(paceHold))
 	return (p.pace + (float64(s.pace)-p.pace)*trust) / usualPace
 }
--- a/broker/server.go
+++ b/broker/server.go
@@ -12,6 +12,10 @@
 	// machines' pace changes about every 150 ms, so a figure is worth little
 	// after that.
 	paceHold = 150 * time.Millisecond
+	// watchHold is how long a sample without a rhythm holds: the entry samples
+	// every few milliseconds then, tells a change at once and the same pace again
+	// after [Retell]; the rest is for the way.
+	watchHold = Retell + 150*time.Millisecond
 	// usualPace is the pace of a machine at rest, in percent.
 	usualPace = 100
 	// failureHalfLife is the time in which half of the mistrust after failures
@@ -35,6 +39,10 @@
 	coldWindow = 1200 * time.Millisecond
 )
 
+// Retell is the time after which an entry repeats an unchanged pace whose rhythm
+// it does not know.
+const Retell = 250 * time.Millisecond
+
 // Server is a backend server as the broker knows it.
 type Server struct {
 	// Number is the server's number in messages.
@@ -57,6 +65,9 @@
 	paceAt time.Time
 	// paceUntil is when the pace is drawn anew; zero if that is not known.
 	paceUntil time.Time
+	// watchedTo is until when the pace counts as told because the entry that
+	// samples it would have told a change.
+	watchedTo time.Time
 	unhealthy bool
 	// mistrust rises with failures and is 0 for a sound server.
 	mistrust   float64
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -181,7 +181,11 @@
 		t.next = max(t.learner.Next(answered), asked+c.shortest)
 		sample.HoldsMillis = int(t.learner.Holds(answered).Milliseconds())
 	}
-	news := t.told == 0 || sample.HoldsMillis > 0 || answered-t.told > retellAfter || worthTelling(t.sample, sample)
+	retell := retellAfter
+	if sample.Pace > 0 {
+		retell = broker.Retell
+	}
+	news := t.told == 0 || sample.HoldsMillis > 0 || answered-t.told > retell || worthTelling(t.sample, sample)
 	if news {
 		t.sample, t.told = sample, answered
 	}
@@ -195,11 +199,10 @@
 	}
 }
 
-// worthTelling reports whether a sample says something new. A slow pace is told
-// again each time, since the broker forgets it.
+// worthTelling reports whether a sample says something new.
 func worthTelling(before, now broker.Sample) bool {
 	change := now.Pace - before.Pace
 	return before.Healthy != now.Healthy || now.Stranger ||
-		change > paceStep || change < -paceStep || now.Pace > 100+paceStep ||
+		change > paceStep || change < -paceStep ||
 		(before.ColdMillis > 0) != (now.ColdMillis > 0)
 }
