--- a/gateway/front.go
+++ b/gateway/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,9 +17,6 @@
 
 // The bounds of a request at the front.
 const (
-	// maxHeldBody bounds a request's body that is held in memory before it is
-	// sent; a longer one is refused, since an entry has little memory.
-	maxHeldBody = 16 << 20
 	// deadlineMargin is taken off the deadline so that the answer still arrives.
 	deadlineMargin = 10 * time.Millisecond
 	// startWait is how long a request waits for the first configuration: an entry
@@ -43,6 +39,8 @@
 	service string
 	request *http.Request
 	body    []byte
+	// held is what the body takes of the budget of held bodies, in bytes.
+	held    int64
 	arrived time.Time
 	// deadline is when the caller or the route's timeout ends the wait.
 	deadline time.Time
@@ -79,7 +77,8 @@
 	if err := g.classify(k); err != nil {
 		return g.fail(c, k, err, 0)
 	}
-	if err := k.readBody(); err != nil {
+	defer func() { g.bodies.give(k.held) }()
+	if err := k.readBody(g.bodies, g.view.limits().MaxBodyBytes); err != nil {
 		return g.fail(c, k, err, 0)
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), k.deadline)
@@ -99,6 +98,9 @@
 			"this entry has no configuration yet")
 	}
 	k.version = index.Configuration().Version
+	if err := checkHeader(k.request, index.Configuration().Limits.MaxHeaderBytes); err != nil {
+		return err
+	}
 	host, _, err := net.SplitHostPort(k.request.Host)
 	if err != nil {
 		host = k.request.Host
@@ -118,33 +120,12 @@
 	return nil
 }
 
-// readBody reads the body before anything is asked of others, so that a slow
-// upload holds no slot.
-func (k *call) readBody() error {
-	if k.request.ContentLength == 0 {
-		return nil
-	}
-	if k.request.ContentLength > maxHeldBody {
-		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
-			"the body has more than %d bytes", maxHeldBody)
-	}
-	body, err := io.ReadAll(io.LimitReader(k.request.Body, maxHeldBody+1))
-	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "body_cut", "read the body")
-	}
-	if len(body) > maxHeldBody {
-		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
-			"the body has more than %d bytes", maxHeldBody)
-	}
-	k.body = body
-	return nil
-}
-
 // statusOf returns the status for a failure. What provably did not run and may
 // come back is 503; what may have run is 502 or 504.
 func statusOf(e *verdict.Error) int {
 	switch e.Status {
-	case http.StatusNotFound, http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+	case http.StatusNotFound, http.StatusBadRequest, http.StatusRequestEntityTooLarge,
+		http.StatusRequestHeaderFieldsTooLarge:
 		return e.Status
 	}
 	if e.Verdict == verdict.NotRun {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,12 +25,13 @@
 const (
 	// maxCallerConnections leaves file descriptors for backend servers.
 	maxCallerConnections = 2500
-	// maxCallerHeader bounds a request's header, in bytes.
-	maxCallerHeader = 64 << 10
-	// headerTimeout bounds the arrival of a header.
+	// maxCallerHeader bounds a request's header, in bytes, whatever is declared.
+	maxCallerHeader = 256 << 10
+	// headerTimeout bounds the arrival of a header until a limit is declared.
 	headerTimeout = 10 * time.Second
-	// idleTimeout keeps idle connections of callers; longer than callers may
-	// leave them idle, so that the entry is not the one to close.
+	// idleTimeout keeps idle connections of callers until a limit is declared;
+	// longer than callers leave them idle, so that the entry is not the one to
+	// close.
 	idleTimeout = 2 * time.Minute
 )
 
@@ -69,6 +70,8 @@
 	session   *session
 	checker   *checker
 	exchanger *backend.Exchanger
+	// bodies is the budget of the bodies that are held.
+	bodies    *bodyMemory
 	readiness *serving.Readiness
 	log       zerolog.Logger
 	// successes and failures pass on a bounded number of lines.
@@ -96,7 +99,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		options: o, exchanger: backend.NewExchangerOf(o.Dialect), log: o.Log,
-		readiness: serving.NewReadiness(reasonStarting),
+		readiness: serving.NewReadiness(reasonStarting), bodies: newBodyMemory(o.Settings.MemoryBytes),
 		successes: o.Log.Sample(&zerolog.BurstSampler{Burst: successLines, Period: linePeriod}),
 		failures:  o.Log.Sample(&zerolog.BurstSampler{Burst: failureLines, Period: linePeriod}),
 		alone:     o.Metrics.GetOrCreateCounter("tanagerbarrow_placed_alone_total"),
@@ -132,6 +135,7 @@
 	if err != nil {
 		return err
 	}
+	front.UseTimeouts(g.view.timeouts)
 	status := serving.NewEcho()
 	status.GET(g.options.ReadinessPath, g.ready)
 	ready, err := serving.Listen(status, s.Readiness, limits)
