--- a/cmd/tanagerbarrow/deployment.go
+++ b/cmd/tanagerbarrow/deployment.go
@@ -14,7 +14,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"tanagerbarrow/coordinator"
 	"tanagerbarrow/fleet"
@@ -22,13 +21,11 @@
 	"tanagerbarrow/platform"
 	"tanagerbarrow/serving"
 	"tanagerbarrow/settings"
+	"tanagerbarrow/telemetry"
 )
 
 // The limits of the processes of a deployment.
 const (
-	// logRing is how many lines wait for standard output; older ones are dropped
-	// and counted.
-	logRing = 4096
 	// memoryShare is the part of the allowed memory at which the collector works
 	// harder; the rest is for stacks, buffers of the kernel and the C library.
 	memoryShare = 0.6
@@ -55,7 +52,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitBadSettings)
 	}
-	log := newDeploymentLog(s, role)
+	log := telemetry.NewLog(os.Stdout, s.Host.Name, role)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	set := metrics.NewSet()
 	go serveMetrics(s, set, log)
@@ -74,16 +71,6 @@
 // logFlush lets the last lines reach standard output.
 const logFlush = 20 * time.Millisecond
 
-// newDeploymentLog returns a logger that never blocks: a goroutine writes the
-// lines, and lines that find the ring full take the place of the oldest.
-func newDeploymentLog(s *fleet.Settings, role string) zerolog.Logger {
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	w := diode.NewWriter(os.Stdout, logRing, 0, func(dropped int) {
-		fmt.Printf("{\"event\":\"log_lines_dropped\",\"count\":%d}\n", dropped)
-	})
-	return zerolog.New(w).With().Timestamp().Str("host", s.Host.Name).Str("role", role).Logger()
-}
-
 // watchReload logs each request to read the settings again. All that may change
 // while a process runs are the seeds, which it needs at its start alone.
 func watchReload(log zerolog.Logger) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"tanagerbarrow/route"
 	"tanagerbarrow/serving"
 	"tanagerbarrow/settings"
+	"tanagerbarrow/telemetry"
 	"tanagerbarrow/verdict"
 )
 
@@ -86,7 +87,6 @@
 const (
 	successLines = 20
 	failureLines = 200
-	linePeriod   = time.Second
 )
 
 // notReady is the reason for not being ready.
@@ -100,8 +100,8 @@
 	g := &Gateway{
 		options: o, exchanger: backend.NewExchangerOf(o.Dialect), log: o.Log,
 		readiness: serving.NewReadiness(reasonStarting), bodies: newBodyMemory(o.Settings.MemoryBytes),
-		successes: o.Log.Sample(&zerolog.BurstSampler{Burst: successLines, Period: linePeriod}),
-		failures:  o.Log.Sample(&zerolog.BurstSampler{Burst: failureLines, Period: linePeriod}),
+		successes: telemetry.NewBounded(o.Log, "successes", successLines),
+		failures:  telemetry.NewBounded(o.Log, "failures", failureLines),
 		alone:     o.Metrics.GetOrCreateCounter("tanagerbarrow_placed_alone_total"),
 	}
 	g.view = newView(o.Decode, o.Settings.Regions)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,7 +50,7 @@
 
 // fakeBroker is a control host that leads, and grants as the test says.
 type fakeBroker struct {
-	t        *testing.T
+	t        testing.TB
 	listener net.Listener
 
 	mu       sync.Mutex
@@ -65,7 +65,7 @@
 }
 
 // newFakeBroker starts a broker.
-func newFakeBroker(t *testing.T) *fakeBroker {
+func newFakeBroker(t testing.TB) *fakeBroker {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -149,14 +149,14 @@
 }
 
 // startEntry starts a gateway against a broker and waits for its configuration.
-func startEntry(t *testing.T, f *fakeBroker) *testEntry {
+func startEntry(t testing.TB, f *fakeBroker, log zerolog.Logger) *testEntry {
 	seed := netip.MustParseAddrPort(f.listener.Addr().String())
 	g := New(Options{
 		Settings: &fleet.Settings{
 			Host: fleet.Host{Name: "e", AvailabilityZone: "a", Region: "west"}, PeerPort: seed.Port(),
 			Regions: map[string]string{"a": "west", "b": "east"}, Seeds: []netip.AddrPort{seed}, Bounds: fleet.DefaultBounds(),
 		},
-		Dialect: testDialect(), Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Dialect: testDialect(), Log: log, Metrics: metrics.NewSet(),
 		Decode: func(data []byte) (*route.Configuration, error) {
 			var c route.Configuration
 			return &c, json.Unmarshal(data, &c)
@@ -187,7 +187,7 @@
 }
 
 // rawServer is a backend server that plays one script for each request.
-func rawServer(t *testing.T, play func(c net.Conn, r *http.Request)) string {
+func rawServer(t testing.TB, play func(c net.Conn, r *http.Request)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -224,7 +224,12 @@
 }
 
 // setUp starts a broker that grants the given servers in turn, and an entry.
-func setUp(t *testing.T, addresses ...string) (*fakeBroker, *testEntry) {
+func setUp(t testing.TB, addresses ...string) (*fakeBroker, *testEntry) {
+	return setUpLogging(t, zerolog.Nop(), addresses...)
+}
+
+// setUpLogging is setUp with a log.
+func setUpLogging(t testing.TB, log zerolog.Logger, addresses ...string) (*fakeBroker, *testEntry) {
 	f := newFakeBroker(t)
 	f.config = testConfig()
 	for n, address := range addresses {
@@ -239,11 +244,11 @@
 		}
 		return uint32(len(a.Avoid) + 1), nil, false
 	}
-	return f, startEntry(t, f)
+	return f, startEntry(t, f, log)
 }
 
 // send sends a request and returns its status, body and header.
-func (e *testEntry) send(t *testing.T, method, path, body string) (*http.Response, string) {
+func (e *testEntry) send(t testing.TB, method, path, body string) (*http.Response, string) {
 	t.Helper()
 	r, err := http.NewRequest(method, e.front.URL+path, strings.NewReader(body))
 	if err != nil {
--- /dev/null
+++ b/gateway/log_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tanagerbarrow/telemetry"
+)
+
+// TestStalledLogDelaysNoRequest serves requests while nobody reads the output of
+// the process: lines about them and about their failures are lost, the requests
+// are not held up.
+func TestStalledLogDelaysNoRequest(t *testing.T) {
+	reader, writer := io.Pipe()
+	defer func() { _ = reader.Close() }()
+	address := rawServer(t, func(c net.Conn, r *http.Request) { answerWith(c, r, 500, "", "failed") })
+	log := telemetry.NewLog(writer, "e", "gateway")
+	_, entry := setUpLogging(t, log, address)
+	for range 5000 {
+		log.Warn().Str("event", "try_failed").Send()
+	}
+	for range 300 {
+		begun := time.Now()
+		if res, _ := entry.send(t, http.MethodPost, "/once/", ""); res.StatusCode != 500 {
+			t.Fatalf("status %d, want the server's 500", res.StatusCode)
+		}
+		if took := time.Since(begun); took > time.Second {
+			t.Fatalf("a request took %v while the log stalled", took)
+		}
+	}
+}
+
+// BenchmarkRequest is the cost of a request through an entry, with its caller and
+// its backend server in the same process, with and without a log.
+func BenchmarkRequest(b *testing.B) {
+	for name, log := range map[string]zerolog.Logger{
+		"on": telemetry.NewLog(io.Discard, "e", "gateway"), "off": zerolog.Nop(),
+	} {
+		b.Run(name, func(b *testing.B) {
+			address := rawServer(b, func(c net.Conn, r *http.Request) { answerWith(c, r, 200, "", "done") })
+			_, entry := setUpLogging(b, log, address)
+			for b.Loop() {
+				entry.send(b, http.MethodGet, "/safe/", "")
+			}
+		})
+	}
+}
--- a/telemetry/events_test.go
+++ b/telemetry/events_test.go
@@ -20,7 +20,7 @@
 // that the processes of a deployment write together.
 func TestPageListsEveryEvent(t *testing.T) {
 	inCode := map[string]bool{}
-	for _, folder := range []string{"gateway", "coordinator", "platform", "cmd"} {
+	for _, folder := range []string{"gateway", "coordinator", "platform", "cmd", "telemetry"} {
 		err := filepath.WalkDir(filepath.Join("..", folder), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
