--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -335,6 +335,34 @@
 	}
 }
 
+// TestResetIsNoCrash loses the connections of equal requests on servers that go
+// on answering health checks, as when a network or a faulty server resets them:
+// the request is not kept from the others. A check that was on its way when the
+// server crashed clears nothing.
+func TestResetIsNoCrash(t *testing.T) {
+	w := newWorld(t, "a", "a", "b", "b")
+	poison := func(a *Ask) { a.Fingerprint = 7 }
+	healthy := func(s *Server) {
+		w.Sample(Sample{Server: s.Number, Healthy: true, Pace: 100, ColdMillis: -1, Running: -1}, w.now)
+	}
+	var lost []*Server
+	for range 2 {
+		o := w.granted("e1", poison)
+		w.Release("e1", Release{ID: o.Grant.ID, Outcome: Lost, Millis: 1}, w.now)
+		lost = append(lost, o.Server)
+		w.now = w.now.Add(10 * time.Millisecond)
+		healthy(o.Server)
+	}
+	if o := w.ask("e2", poison); o.Refusal == nil || o.Refusal.Reason != ReasonPoison {
+		t.Errorf("a check from before the crash cleared it: %+v", o)
+	}
+	w.now = w.now.Add(100 * time.Millisecond)
+	for _, s := range lost {
+		healthy(s)
+	}
+	w.granted("e2", poison)
+}
+
 // TestEntryKeepsItsGrants reconnects an entry with a grant of an earlier broker:
 // the slot stays in use until the release.
 func TestEntryKeepsItsGrants(t *testing.T) {
--- a/broker/learn.go
+++ b/broker/learn.go
@@ -11,15 +11,20 @@
 	poisonCrashes = 2
 	// poisonMemory is how long such a request is remembered.
 	poisonMemory = 30 * time.Second
+	// clearAfter is how long after a lost connection a good health check clears a
+	// server of having crashed: a check that ended before the loss is told within
+	// the longest way between regions.
+	clearAfter = 60 * time.Millisecond
 	// maxPoison bounds the remembered requests.
 	maxPoison = 10_000
 	// maxRelative bounds the weight of one slow answer.
 	maxRelative = 6
 )
 
-// suspect is a request whose runs have lost their connection.
+// suspect is a request whose runs have lost their connection, on the servers that
+// have not shown since then that they live.
 type suspect struct {
-	servers map[uint32]bool
+	servers map[uint32]time.Time
 	last    time.Time
 }
 
@@ -91,11 +96,26 @@
 		if len(b.poison) >= maxPoison {
 			return
 		}
-		x = &suspect{servers: map[uint32]bool{}}
+		x = &suspect{servers: map[uint32]time.Time{}}
 		b.poison[g.fingerprint] = x
 	}
-	x.servers[g.server.Number] = true
+	x.servers[g.server.Number] = now
 	x.last = now
+	g.server.suspects = append(g.server.suspects, x)
+}
+
+// clear takes a server that lives from the requests that are suspected to have
+// crashed it: its connection was only reset.
+func (s *Server) clear(now time.Time) {
+	kept := s.suspects[:0]
+	for _, x := range s.suspects {
+		if now.Sub(x.servers[s.Number]) < clearAfter {
+			kept = append(kept, x)
+			continue
+		}
+		delete(x.servers, s.Number)
+	}
+	s.suspects = kept
 }
 
 // poisoned reports whether equal requests have crashed servers.
@@ -132,6 +152,7 @@
 	}
 	s.unhealthy = !m.Healthy
 	if m.Healthy {
+		s.clear(now)
 		s.sound = now
 		s.Record.Unconfirmed = false
 	}
--- a/broker/server.go
+++ b/broker/server.go
@@ -83,6 +83,9 @@
 	sound time.Time
 	// coldGrants are the times of the last grants while it was cold.
 	coldGrants []time.Time
+	// suspects are the requests that may have crashed the server since it last
+	// showed that it lives.
+	suspects []*suspect
 	// granted says that the server has had a request.
 	granted bool
 	// silence is the time without heartbeat or answer after which the server is
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -18,7 +18,7 @@
 func TestStalledLogDelaysNoRequest(t *testing.T) {
 	reader, writer := io.Pipe()
 	defer func() { _ = reader.Close() }()
-	address := rawServer(t, func(c net.Conn, r *http.Request) { answerWith(c, r, 500, "", "failed") })
+	address := rawServer(t, func(c net.Conn, r *http.Request) { answerWith(c, r, http.StatusInternalServerError, "", "failed") })
 	log := telemetry.NewLog(writer, "e", "gateway")
 	_, entry := setUpLogging(t, log, address)
 	for range 5000 {
@@ -26,7 +26,7 @@
 	}
 	for range 300 {
 		begun := time.Now()
-		if res, _ := entry.send(t, http.MethodPost, "/once/", ""); res.StatusCode != 500 {
+		if res, _ := entry.send(t, http.MethodPost, "/once/", ""); res.StatusCode != http.StatusInternalServerError {
 			t.Fatalf("status %d, want the server's 500", res.StatusCode)
 		}
 		if took := time.Since(begun); took > time.Second {
