--- a/broker/load_test.go
+++ b/broker/load_test.go
@@ -117,3 +117,29 @@
 		}
 	}
 }
+
+// TestDecisionsHoldAsEntriesGrow replays four fifths of the load that the machines
+// at their usual pace carry, and twice that load, with 19 and with 144 entries
+// and as many servers to each: the share in time does not fall with the entries,
+// and twice the load serves nine tenths of what the capacity serves.
+func TestDecisionsHoldAsEntriesGrow(t *testing.T) {
+	for name, whole := range map[string]load{"catalogue": catalogue(110, 1), "stock": stock(350, 1)} {
+		for _, entries := range []int{19, 144} {
+			l := whole
+			l.entries, l.regions, l.zones, l.answerBytes, l.length = entries, 3, 2, 5000, 6*time.Second
+			l.servers = l.servers * entries / 19
+			served := func(load float64) result {
+				at := l
+				at.rate *= load * float64(entries) / 19
+				return newSim(at).run()
+			}
+			if r := served(0.8); r.share() < inTimeUnderLoad {
+				t.Errorf("%s, %d entries at 0.8: %s", name, entries, r)
+			}
+			full, over := served(1), served(2)
+			if a, b := full.inTime+full.late, over.inTime+over.late; float64(b) < 0.9*float64(a) {
+				t.Errorf("%s, %d entries: %d served at twice the load, %d at capacity", name, entries, b, a)
+			}
+		}
+	}
+}
--- a/broker/sim_test.go
+++ b/broker/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tanagerbarrow/registry"
@@ -36,6 +37,10 @@
 	regions, zones, entries int
 	// answerBytes is the size of an answer.
 	answerBytes int
+	// allKnowing replays the load against a central queue that knows every slot
+	// and every pace at each moment and whose grants take no time: the limit of
+	// what a broker can reach.
+	allKnowing bool
 }
 
 // result is what callers saw.
@@ -45,6 +50,14 @@
 	// crossed and crossedZone count the granted requests that left their region
 	// and their zone.
 	crossed, crossedZone int
+	// times are the latencies of the answered requests.
+	times []time.Duration
+}
+
+// quantile returns a quantile of the latencies.
+func (r result) quantile(q float64) time.Duration {
+	slices.Sort(r.times)
+	return r.times[int(q*float64(len(r.times)-1))]
 }
 
 // share is the part of the requests that were answered within the objective.
@@ -102,6 +115,8 @@
 	asks    map[uint64]*simCall
 	nextAsk uint64
 	result  result
+	// central are the requests that wait where the load is allKnowing.
+	central []*simCall
 }
 
 // simCall is a caller's request.
@@ -180,6 +195,11 @@
 		Server: server, Healthy: true, Pace: s.pace(server, s.now), ColdMillis: -1, Running: -1,
 		HoldsMillis: int(left.Milliseconds()),
 	}, s.clock())
+	if s.allKnowing {
+		s.assign()
+		s.schedule(left, func() { s.sample(server) })
+		return
+	}
 	s.schedule(left+simSample, func() { s.sample(server) })
 }
 
@@ -230,6 +250,11 @@
 // ask hands a call to the broker.
 func (s *sim) ask(c *simCall) {
 	c.tries++
+	if s.allKnowing {
+		s.central = append(s.central, c)
+		s.assign()
+		return
+	}
 	s.nextAsk++
 	s.asks[s.nextAsk] = c
 	left := c.first + s.deadline - s.now
@@ -260,44 +285,81 @@
 	}
 }
 
+// assign gives waiting requests to servers that have a slot and a usual pace now.
+func (s *sim) assign() {
+	for len(s.central) > 0 {
+		best := uint32(0)
+		for server := range s.phase {
+			free := s.running[server] < s.slots && s.pace(server, s.now) == usualPace
+			if free && (best == 0 || s.running[server] < s.running[best] || (s.running[server] == s.running[best] && server < best)) {
+				best = server
+			}
+		}
+		if best == 0 {
+			return
+		}
+		c := s.central[0]
+		s.central = s.central[1:]
+		s.serve(c, best, func(time.Duration, bool) { s.assign() })
+	}
+}
+
 // begin runs a granted request on its server.
 func (s *sim) begin(g Grant) {
 	c := s.asks[g.Seq]
 	delete(s.asks, g.Seq)
-	s.running[g.Server]++
-	crossing := time.Duration(0)
-	from, to := c.entry%(s.regions*s.zones), s.zone[g.Server]
-	if from != to {
-		s.result.crossedZone++
-	}
-	if from%s.regions != to%s.regions {
-		s.result.crossed++
-		crossing = 2 * simCrossing
-	}
-	took := time.Duration(c.work * float64(s.work) * float64(s.pace(g.Server, s.now)) / usualPace)
-	if float64(s.running[g.Server]) > fullShare*float64(s.slots) {
-		took = took * 17 / 10
-	}
-	took += crossing
-	end := min(took, s.timeout)
-	s.schedule(end, func() {
-		s.running[g.Server]--
-		s.finish(c, took > s.timeout)
+	s.serve(c, g.Server, func(took time.Duration, lost bool) {
 		outcome := Answered
-		if took > s.timeout {
+		if lost {
 			outcome = Abandoned
 		}
 		s.schedule(simTrip, func() {
 			s.b.Release(simEntry(c.entry), Release{
-				ID: g.ID, Outcome: outcome, Millis: int(end.Milliseconds()), KeptMillis: 9000, AnswerBytes: s.answerBytes,
+				ID: g.ID, Outcome: outcome, Millis: int(took.Milliseconds()), KeptMillis: 9000, AnswerBytes: s.answerBytes,
 			}, s.clock())
 		})
 	})
 }
 
+// serve runs a request on a server and tells when it has ended, after what time,
+// and whether it passed its timeout.
+func (s *sim) serve(c *simCall, server uint32, done func(took time.Duration, lost bool)) {
+	s.running[server]++
+	took := time.Duration(c.work * float64(s.work) * float64(s.pace(server, s.now)) / usualPace)
+	if float64(s.running[server]) > fullShare*float64(s.slots) {
+		took = took * 17 / 10
+	}
+	took += s.cross(c, server)
+	lost := took > s.timeout
+	took = min(took, s.timeout)
+	s.schedule(took, func() {
+		s.running[server]--
+		s.finish(c, lost)
+		done(took, lost)
+	})
+}
+
+// cross counts a request that leaves its zone, and returns the time that it takes
+// on the way.
+func (s *sim) cross(c *simCall, server uint32) time.Duration {
+	from, to := c.entry%(s.regions*s.zones), s.zone[server]
+	if from != to {
+		s.result.crossedZone++
+	}
+	if from%s.regions == to%s.regions {
+		return 0
+	}
+	s.result.crossed++
+	return 2 * simCrossing
+}
+
 // finish counts a call.
 func (s *sim) finish(c *simCall, lost bool) {
-	switch took := s.now + simTrip - c.first; {
+	took := s.now + simTrip - c.first
+	if !lost {
+		s.result.times = append(s.result.times, took)
+	}
+	switch {
 	case lost:
 		s.result.lost++
 	case took <= s.objective:
