--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -25,6 +25,10 @@
 	Header http.Header
 	// Held is the request's body if it is held in memory and Body is nil.
 	Held []byte
+	// BeforeEnd, if set, is called once all but the end of a long Held body was
+	// written; the end follows when it returns, and with it the server begins the
+	// request.
+	BeforeEnd func()
 	// Body is the request's body as it arrives, or nil.
 	Body io.ReadCloser
 	// ContentLength is the length of Body in bytes, or -1 if unknown.
@@ -67,6 +71,42 @@
 // streams reports whether the body is sent while the answer is awaited.
 func (a *Attempt) streams() bool { return a.Body != nil || len(a.Held) > maxWrittenFirst }
 
+// pauses reports whether the end of the body is held back until BeforeEnd returns.
+func (a *Attempt) pauses() bool {
+	return a.BeforeEnd != nil && a.Body == nil && len(a.Held) > maxWrittenFirst
+}
+
+// pausedEnd is the length of the end of a body that is held back, in bytes: one
+// packet, which arrives as soon as it is sent.
+const pausedEnd = 1 << 10
+
+// pausedBody is a body whose end is held back.
+type pausedBody struct {
+	rest  []byte
+	pause func()
+}
+
+// Read reads up to the end, pauses there once, and reads on.
+func (b *pausedBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	most := len(b.rest)
+	if b.pause != nil {
+		most -= pausedEnd
+	}
+	if most <= 0 {
+		b.pause()
+		b.pause, most = nil, len(b.rest)
+	}
+	n := copy(p, b.rest[:most])
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close does nothing.
+func (b *pausedBody) Close() error { return nil }
+
 // newRequest builds the outgoing request.
 func newRequest(d Dialect, to *membership.BackendServer, a *Attempt) *http.Request {
 	header := a.Header.Clone()
@@ -97,6 +137,8 @@
 	switch {
 	case a.Body != nil:
 		r.Body, r.ContentLength = a.Body, a.ContentLength
+	case a.pauses():
+		r.Body, r.ContentLength = &pausedBody{rest: a.Held, pause: a.BeforeEnd}, int64(len(a.Held))
 	case len(a.Held) > 0:
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(a.Held)), int64(len(a.Held))
 	}
--- a/backend/upload.go
+++ b/backend/upload.go
@@ -10,15 +10,23 @@
 	"github.com/cockroachdb/errors"
 )
 
-// uploadBufferBytes is how much of a body is held on its way, in bytes.
-const uploadBufferBytes = 64 << 10
+// uploadBufferBytes is how much of a body is held on its way, in bytes, and
+// pausedBufferBytes that of a body whose end is held back: what is in the buffer
+// then waits too.
+const (
+	uploadBufferBytes = 64 << 10
+	pausedBufferBytes = 4 << 10
+)
 
 // uploadSettleTime bounds the wait for the last write of a body to return after
 // the whole answer came.
 const uploadSettleTime = 10 * time.Millisecond
 
-// uploadWriters are the buffers of bodies on their way.
-var uploadWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, uploadBufferBytes) }}
+// uploadWriters and pausedWriters are the buffers of bodies on their way.
+var (
+	uploadWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, uploadBufferBytes) }}
+	pausedWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, pausedBufferBytes) }}
+)
 
 // upload sends a request with its body in a goroutine of its own, because a
 // backend server may answer before it has read the whole body.
@@ -31,22 +39,26 @@
 // startUpload begins to send the request on the connection.
 func startUpload(c *conn, r *http.Request) *upload {
 	u := &upload{source: uploadSource{in: r.Body}, written: make(chan struct{})}
+	buffers := &uploadWriters
+	if _, paused := r.Body.(*pausedBody); paused {
+		buffers = &pausedWriters
+	}
 	r.Body = &u.source
-	go u.run(c, r)
+	go u.run(c, r, buffers)
 	return u
 }
 
 // run sends the request. A body that cannot be read to its end closes the
 // connection, so that the backend server sees the body as cut.
-func (u *upload) run(c *conn, r *http.Request) {
-	out := uploadWriters.Get().(*bufio.Writer)
+func (u *upload) run(c *conn, r *http.Request, buffers *sync.Pool) {
+	out := buffers.Get().(*bufio.Writer)
 	out.Reset(c)
 	err := r.Write(out)
 	if err == nil {
 		err = out.Flush()
 	}
 	out.Reset(nil)
-	uploadWriters.Put(out)
+	buffers.Put(out)
 	if err == nil {
 		close(u.written)
 		return
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -135,15 +135,44 @@
 
 // check checks one server.
 func (c *checker) check(ctx context.Context, t *target, s *server) {
-	path := "/health"
-	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
-		path = index.Service(s.Service).HealthPath
-	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	asked := time.Since(c.begun)
 	sample := broker.Sample{Server: s.Number, ColdMillis: -1, Running: -1}
-	var report backend.Report
+	a, err := c.exchange(ctx, s)
+	sample.Healthy = a.status == http.StatusOK
+	sample.Stranger = a.status == http.StatusMisdirectedRequest || (a.report.ServerID != "" && a.report.ServerID != s.ID)
+	sample.Pace = a.report.Pace
+	if a.report.Slots > 0 {
+		sample.Running = a.report.Running + a.report.Waiting
+	}
+	if err == nil && a.report.Cold >= 0 {
+		sample.ColdMillis = int(a.report.Cold.Milliseconds())
+		c.view.noteCold(s, a.report.Cold, time.Now())
+	}
+	c.finish(t, sample, asked, time.Since(c.begun))
+}
+
+// look returns the pace of a server's machine now; 0 if it does not tell.
+func (c *checker) look(ctx context.Context, s *server) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, paceLookLimit)
+	defer cancel()
+	a, err := c.exchange(ctx, s)
+	return a.report.Pace, err
+}
+
+// checkAnswer is a server's answer to a health check; status is 0 for none.
+type checkAnswer struct {
+	status int
+	report backend.Report
+}
+
+// exchange asks a server for its health.
+func (c *checker) exchange(ctx context.Context, s *server) (checkAnswer, error) {
+	path := "/health"
+	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
+		path = index.Service(s.Service).HealthPath
+	}
 	res, err := c.exchanger.Exchange(ctx, s.target, &backend.Attempt{ //nolint:bodyclose // readAll closes it
 		Method: http.MethodGet, Target: path, Host: s.Address, Header: http.Header{},
 		ExpectServer: s.ID, Deadline: time.Now().Add(checkTimeout),
@@ -151,23 +180,14 @@
 	var refused *backend.RefusedError
 	switch {
 	case err == nil:
-		report = c.dialect.Report(res.Header)
-		sample.Healthy = res.StatusCode == http.StatusOK
-		sample.Stranger = report.ServerID != "" && report.ServerID != s.ID
+		a := checkAnswer{res.StatusCode, c.dialect.Report(res.Header)}
 		_, err = readAll(res)
+		return a, err
 	case errors.As(err, &refused):
-		report = refused.Report
-		sample.Stranger = refused.Status == http.StatusMisdirectedRequest
-	}
-	sample.Pace = report.Pace
-	if report.Slots > 0 {
-		sample.Running = report.Running + report.Waiting
-	}
-	if err == nil && report.Cold >= 0 {
-		sample.ColdMillis = int(report.Cold.Milliseconds())
-		c.view.noteCold(s, report.Cold, time.Now())
+		return checkAnswer{refused.Status, refused.Report}, err
+	default:
+		return checkAnswer{}, err
 	}
-	c.finish(t, sample, asked, time.Since(c.begun))
 }
 
 // finish notes a check's result, tells the broker if it is news, and plans the
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -184,7 +184,7 @@
 	k.server = t.server.ID
 	res, err := g.exchanger.Exchange(ctx, t.server.target, &backend.Attempt{ //nolint:bodyclose // readAll closes it
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host,
-		Header: k.request.Header, Held: k.body, RequestID: k.id, Deadline: k.deadline,
+		Header: k.request.Header, Held: k.body, BeforeEnd: g.beforeEnd(ctx, k, t), RequestID: k.id, Deadline: k.deadline,
 		ExpectServer: t.server.ID,
 	})
 	a := answered{}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,7 @@
 	timeHeader   = "Test-Timeout"
 	expectHeader = "Test-Expect"
 	notRunHeader = "Test-Not-Run"
+	paceHeader   = "Pace"
 )
 
 // testDialect is a dialect with names of its own.
@@ -44,7 +45,10 @@
 	return backend.Dialect{
 		RequestID: idHeader, Timeout: timeHeader, ExpectServer: expectHeader, KeepHost: true,
 		NotRun: func(r *http.Response) bool { return r.Header.Get(notRunHeader) != "" },
-		Report: func(http.Header) backend.Report { return backend.Report{Cold: -1, KeepAlive: 9 * time.Second} },
+		Report: func(h http.Header) backend.Report {
+			pace, _ := strconv.Atoi(h.Get(paceHeader))
+			return backend.Report{Cold: -1, KeepAlive: 9 * time.Second, Pace: pace}
+		},
 	}
 }
 
