--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -60,8 +60,10 @@
 
 	broker   *broker.Broker
 	sessions map[string]*watcher
-	state    declare.State
-	index    *route.Index
+	// sights are what the entry of each session knows of the servers.
+	sights map[string]*sight
+	state  declare.State
+	index  *route.Index
 	// sent is the configuration that all sessions hold or are being sent.
 	sent       declare.Document
 	documentAt time.Time
@@ -75,7 +77,7 @@
 	l := &leader{
 		c: c, term: term, events: make(chan func(time.Time), eventCapacity),
 		urgent: make(chan func(time.Time), urgentCapacity), done: make(chan struct{}),
-		log: c.log, sessions: map[string]*watcher{}, checks: map[string][]uint32{},
+		log: c.log, sessions: map[string]*watcher{}, sights: map[string]*sight{}, checks: map[string][]uint32{},
 		index: route.NewIndex(&route.Configuration{}),
 		broker: broker.New(broker.Options{
 			Regions: c.options.Settings.Regions, Zone: c.self.AvailabilityZone, RetryRatio: b.RetryRatio, RetryExtra: b.RetryExtra,
@@ -170,6 +172,7 @@
 		}
 		if o.Grant != nil {
 			l.c.meters.grants.Inc()
+			l.tellGranted(o.Entry, w, o.Server, time.Now())
 			_ = w.conn.Send(protocol.KindGrant, o.Grant)
 			continue
 		}
@@ -204,11 +207,7 @@
 	if l.sent.Version > s.Version {
 		l.send(w, l.sent, declare.Document{})
 	}
-	view := protocol.View{Whole: true, ZonesOut: l.zonesOut()}
-	for _, server := range l.broker.Servers() {
-		view.Servers = append(view.Servers, viewOf(server, now))
-	}
-	_ = w.conn.Send(protocol.KindView, view)
+	l.tellAll(name, w, now)
 	delete(l.checks, name)
 	l.shareChecks()
 }
@@ -220,6 +219,7 @@
 		return
 	}
 	delete(l.sessions, name)
+	delete(l.sights, name)
 	delete(l.checks, name)
 	l.broker.Disconnect(name, now)
 	l.log.Warn().Str("event", "entry_lost").Str("entry", name).AnErr("reason", w.conn.Err()).Send()
@@ -272,16 +272,16 @@
 	before := l.zonesOut()
 	l.state = state
 	l.broker.Configure(l.index, state.ZonesOut, now)
-	view := protocol.View{ZonesOut: l.zonesOut()}
+	var gone []uint32
 	for _, s := range l.broker.Servers() {
 		if l.c.left(s.Record.ID, s.Record.Started) {
 			l.broker.Leave(s.Record.ID)
-			view.Gone = append(view.Gone, s.Number)
+			gone = append(gone, s.Number)
 			l.log.Info().Str("event", "server_left").Str("server", s.Record.ID).Str("service", s.Record.Service).Send()
 		}
 	}
-	if len(view.Gone) > 0 || !slices.Equal(before, view.ZonesOut) {
-		l.broadcast(protocol.KindView, view)
+	if zones := !slices.Equal(before, l.zonesOut()); zones || len(gone) > 0 {
+		l.tell(nil, gone, zones, now)
 	}
 	if state.Document.Version > l.sent.Version && now.Sub(l.documentAt) >= documentPause {
 		l.sendDocument(now)
@@ -290,16 +290,16 @@
 
 // forgetLost drops the servers of which nothing is heard.
 func (l *leader) forgetLost(now time.Time) {
-	view := protocol.View{ZonesOut: l.zonesOut()}
+	var gone []uint32
 	for number, s := range l.broker.Servers() {
 		if s.Lost(now, lostSilence) {
 			l.broker.Leave(s.Record.ID)
-			view.Gone = append(view.Gone, number)
+			gone = append(gone, number)
 			l.log.Info().Str("event", "server_lost").Str("server", s.Record.ID).Str("service", s.Record.Service).Send()
 		}
 	}
-	if len(view.Gone) > 0 {
-		l.broadcast(protocol.KindView, view)
+	if len(gone) > 0 {
+		l.tell(nil, gone, false, now)
 	}
 }
 
@@ -370,10 +370,10 @@
 	if l.c.left(r.ID, r.Started) {
 		return
 	}
-	var view protocol.View
+	var gone []uint32
 	if replaced != nil {
 		if s := l.broker.Leave(replaced.ID); s != nil {
-			view.Gone = append(view.Gone, s.Number)
+			gone = append(gone, s.Number)
 		}
 	}
 	if o == registry.Refreshed && l.broker.Refresh(r) {
@@ -382,7 +382,5 @@
 	s := l.broker.Announce(r, now)
 	l.log.Info().Str("event", "server_announced").Str("server", r.ID).Int64("started", r.Started).
 		Str("service", r.Service).Str("address", r.Address).Bool("cold", now.Before(r.ColdUntil)).Send()
-	view.Servers = append(view.Servers, viewOf(s, now))
-	view.ZonesOut = l.zonesOut()
-	l.broadcast(protocol.KindView, view)
+	l.tell([]*broker.Server{s}, gone, false, now)
 }
