--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"path/filepath"
@@ -84,8 +83,7 @@
 	// recordsChanged wakes the duty that keeps the records.
 	recordsChanged chan struct{}
 
-	incarnation uint64
-	joined      sync.WaitGroup
+	joined sync.WaitGroup
 }
 
 // New opens the replica and prepares the process.
@@ -96,7 +94,7 @@
 	}
 	c := &Coordinator{
 		options: o, log: o.Log, machine: declare.NewMachine(), records: registry.NewTable(),
-		watchers: map[*watcher]bool{}, forwarded: map[string]time.Time{}, recordsChanged: make(chan struct{}, 1), incarnation: rand.Uint64(),
+		watchers: map[*watcher]bool{}, forwarded: map[string]time.Time{}, recordsChanged: make(chan struct{}, 1),
 		self: protocol.ControlHost{
 			Name: s.Host.Name, Peer: netip.AddrPortFrom(s.Host.Address, s.PeerPort).String(),
 			Control: s.Control.String(), AvailabilityZone: s.Host.AvailabilityZone,
--- a/coordinator/mesh.go
+++ b/coordinator/mesh.go
@@ -204,7 +204,7 @@
 func (m *mesh) greet(conn *link.Conn) {
 	hello := protocol.Hello{
 		Name: m.c.self.Name, AvailabilityZone: m.c.self.AvailabilityZone,
-		Incarnation: m.c.incarnation, Control: &m.c.self,
+		Control: &m.c.self,
 	}
 	if err := conn.Send(protocol.KindHello, hello); err != nil {
 		conn.Close()
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -153,7 +153,8 @@
 	c.finish(t, sample, asked, time.Since(c.begun))
 }
 
-// look returns the pace of a server's machine now; 0 if it does not tell.
+// look asks for the pace of a server's machine, in percent of the usual; 0 if it
+// does not tell.
 func (c *checker) look(ctx context.Context, s *server) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, paceLookLimit)
 	defer cancel()
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,8 @@
 	waited time.Duration
 	// server is the identifier of the last server.
 	server string
+	// endHeld is how long the end of its body was held back, in nanoseconds.
+	endHeld atomic.Int64
 	// reached counts the backend servers that its bytes may have reached, and
 	// ran those that may have run it.
 	reached, ran int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,6 +194,9 @@
 	line = line.Str("event", "request_ended").Str("request_id", k.id).Str("route", name).Str("service", k.service).
 		Uint64("config_version", k.version).Int("status", status).Str("server", k.server).Int("tries", k.reached).
 		Dur("took_ms", took).Dur("asked_ms", k.waited).Dur("limit_ms", k.limit).Uint64("broker_term", g.view.currentTerm())
+	if held := k.endHeld.Load(); held > 0 {
+		line = line.Dur("end_held_ms", time.Duration(held))
+	}
 	if r := k.refusal; r != nil {
 		line = line.Int("waiting", r.Waiting).Int("busy", r.Busy).Int("slots", r.Slots).Int("retry_ms", r.RetryMillis)
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -41,10 +41,9 @@
 
 // session is the connection to the broker. It is safe for concurrent use.
 type session struct {
-	settings    *fleet.Settings
-	view        *view
-	log         zerolog.Logger
-	incarnation uint64
+	settings *fleet.Settings
+	view     *view
+	log      zerolog.Logger
 	// checks receives the health checks to do.
 	checks func(protocol.Checks)
 	// connected is told of each connection to a broker.
@@ -70,7 +69,7 @@
 		known[seed.String()] = true
 	}
 	return &session{
-		settings: s, view: v, log: log, incarnation: rand.Uint64(), known: known,
+		settings: s, view: v, log: log, known: known,
 		waiting: map[uint64]chan reply{}, held: map[uint64]string{},
 	}
 }
@@ -129,7 +128,7 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	hello := protocol.Hello{
-		Name: s.settings.Host.Name, AvailabilityZone: s.settings.Host.AvailabilityZone, Incarnation: s.incarnation,
+		Name: s.settings.Host.Name, AvailabilityZone: s.settings.Host.AvailabilityZone,
 	}
 	if conn.Send(protocol.KindHello, hello) != nil {
 		return
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -37,6 +37,8 @@
 	begun := time.Now()
 	return func() {
 		sleep(ctx, sending-time.Since(begun))
+		arrived := time.Now()
+		defer func() { k.endHeld.Store(int64(time.Since(arrived))) }()
 		wait := time.Duration(paceWaitShare * float64(k.route.LatencyObjective))
 		for until := time.Now().Add(wait); ctx.Err() == nil && time.Now().Before(until); {
 			if pace, err := g.checker.look(ctx, t.server); err == nil && pace <= steadyPace {
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -63,8 +63,6 @@
 
 	// Name is the sender's host, and AvailabilityZone where it stands.
 	Name, AvailabilityZone string
-	// Incarnation is drawn at the sender's start.
-	Incarnation uint64
 	// Control is set by control hosts.
 	Control *ControlHost
 }
