--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -211,6 +211,24 @@
 	}
 }
 
+// TestNewcomerIsTried adds a server beside one to which the entry has idle
+// connections: the next request goes to the newcomer, those after it back.
+func TestNewcomerIsTried(t *testing.T) {
+	w := newWorld(t, "a")
+	for range 3 {
+		o := w.granted("e1", nil)
+		w.Release("e1", Release{ID: o.Grant.ID, Outcome: Answered, Millis: 200, KeptMillis: 60_000, AnswerBytes: 5000}, w.now)
+	}
+	w.announce("newcomer", "a", 0)
+	first := w.granted("e1", nil)
+	if first.Server.Record.ID != "newcomer" {
+		t.Error("the newcomer got nothing")
+	}
+	if o := w.granted("e1", nil); o.Server.Record.ID == "newcomer" {
+		t.Error("the newcomer is preferred for ever")
+	}
+}
+
 // TestUnwatchedMachinesServeWhatHasWaited lets the samples of all servers end, as
 // when the entries that take them lose power. Asks wait their time for a steady
 // machine and are then granted: slots are free, and nothing says that they are
--- a/broker/place.go
+++ b/broker/place.go
@@ -42,8 +42,10 @@
 	// unhealthyCost keeps requests off servers whose health check fails while
 	// others have room; the check may be wrong.
 	unhealthyCost = 2 * time.Second
-	// newcomerGain makes a server that has had no request be tried.
-	newcomerGain = 40 * time.Millisecond
+	// newcomerGain makes a server that has had no request be tried though it costs a
+	// new connection and the way to another zone: nothing else tells what it is
+	// worth. It counts once for each server.
+	newcomerGain = 2 * dialCost
 	// drawSpread is the random part that keeps equal servers equally used.
 	drawSpread = 4 * time.Millisecond
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// lastRequest is when requests that still come on kept connections are refused
 	// at once: what is begun later might not be finished in the grace period.
 	lastRequest = 2800 * time.Millisecond
+	// drainMargin is left to what is in progress when the connections that are
+	// still idle are closed; callers have had time to use each of them once.
+	drainMargin = 300 * time.Millisecond
 	// stopMargin is left between the last answer and the end of the grace period.
 	stopMargin = 700 * time.Millisecond
 )
@@ -176,7 +179,7 @@
 	front.CloseKeptAlive(true)
 	time.Sleep(max(0, min(lastRequest, grace/2)-time.Since(begun)))
 	g.refusing.Store(true)
-	time.Sleep(min(leaveRotation, grace/2) / 4)
+	front.Drain(grace - stopMargin - drainMargin - time.Since(begun))
 	return front.Shutdown(grace - stopMargin - time.Since(begun))
 }
 
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"tanagerbarrow/serving"
+	"tanagerbarrow/settings"
+)
+
+// TestStopKeepsIdleConnectionsForTheirLastRequest stops an entry while a caller
+// keeps an idle connection. A request on it at two thirds of the grace period is
+// refused as not run and closes the connection: an entry that closes idle
+// connections loses the requests that are on their way to them.
+func TestStopKeepsIdleConnectionsForTheirLastRequest(t *testing.T) {
+	_, e := setUp(t, rawServer(t, func(c net.Conn, r *http.Request) { answerWith(c, r, 200, "", "whole") }))
+	const grace = 3 * time.Second
+	e.options.Settings.Bounds.GracePeriod = grace
+	routes := serving.NewEcho()
+	e.register(routes)
+	front, err := serving.Listen(routes, netip.MustParseAddrPort("127.0.0.1:0"), settings.Limits{MaxConnections: 10, MaxHeaderBytes: 1 << 16})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = front.Serve() }()
+	conn, err := net.Dial("tcp", front.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	ask := func() *http.Response {
+		if _, err := conn.Write([]byte("GET /safe/ HTTP/1.1\r\nHost: h\r\n" + idHeader + ": id-1\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		_ = res.Body.Close()
+		return res
+	}
+	if res := ask(); res.StatusCode != http.StatusOK {
+		t.Fatalf("status %d before the stop", res.StatusCode)
+	}
+	stopped := make(chan error, 1)
+	begun := time.Now()
+	go func() { stopped <- e.stop(front) }()
+	time.Sleep(grace * 2 / 3)
+	if res := ask(); res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+		t.Errorf("status %d, closes %v", res.StatusCode, res.Close)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(begun); took > grace {
+		t.Errorf("the stop took %v of %v", took, grace)
+	}
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -21,6 +21,7 @@
 	http     *http.Server
 	listener net.Listener
 	closing  atomic.Bool
+	open     atomic.Int64
 }
 
 // Listen opens a listener for the routes of e.
@@ -38,10 +39,38 @@
 			IdleTimeout:       l.IdleTimeout,
 		},
 	}
+	s.http.ConnState = s.count
 	e.Pre(s.closeAfterAnswer)
 	return s, nil
 }
 
+// count follows the open connections.
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// Drain waits until all connections are closed by their answers or callers, at
+// most for the given time. It closes none: a request that is on its way to an
+// idle connection would be lost with it.
+func (s *Server) Drain(limit time.Duration) {
+	for until := time.Now().Add(limit); s.open.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(drainPoll)
+	}
+}
+
+// drainPoll is the time between two looks at the open connections of a server
+// that drains; a small part of the time that a restart takes.
+const drainPoll = 20 * time.Millisecond
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
 // CloseKeptAlive makes every further answer close its connection, or no longer
 // does so. Connections in use finish their requests.
 func (s *Server) CloseKeptAlive(closing bool) { s.closing.Store(closing) }
--- a/serving/timeouts_test.go
+++ b/serving/timeouts_test.go
@@ -28,7 +28,7 @@
 	s.UseTimeouts(func() Timeouts { return *limits.Load() })
 	go func() { _ = s.Serve() }()
 	t.Cleanup(func() { _ = s.Shutdown(time.Second) })
-	return s.listener.Addr().String(), limits
+	return s.Address(), limits
 }
 
 // closedAfter returns how long the server keeps a connection open after the
