--- a/broker/place.go
+++ b/broker/place.go
@@ -44,7 +44,7 @@
 	unhealthyCost = 2 * time.Second
 	// newcomerGain makes a server that has had no request be tried though it costs a
 	// new connection and the way to another zone: nothing else tells what it is
-	// worth. It counts once for each server.
+	// worth. It counts once for each server, while its machine is steady.
 	newcomerGain = 2 * dialCost
 	// drawSpread is the random part that keeps equal servers equally used.
 	drawSpread = 4 * time.Millisecond
@@ -170,7 +170,8 @@
 	if s.cold(now) {
 		work *= 2
 	}
-	work = time.Duration(float64(work) * p.paceFactor(s, now, now.Add(b.arrivalTime(s, w))))
+	pace := p.paceFactor(s, now, now.Add(b.arrivalTime(s, w)))
+	work = time.Duration(float64(work) * pace)
 	cost := work + p.travelCost(s, w)
 	cost += time.Duration(s.distrust(now) * float64(mistrustCost))
 	if s.unhealthy {
@@ -179,7 +180,7 @@
 	if !w.entry.isWarm(s.Number, now) {
 		cost += dialCost
 	}
-	if !s.granted {
+	if !s.granted && pace <= steadyFactor {
 		cost -= newcomerGain
 	}
 	return cost + time.Duration(b.options.Random.Int64N(int64(drawSpread)))
