--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -128,12 +128,14 @@
 			}
 		}
 		var broken atomic.Bool
+		g.mu.Lock()
 		g.calling = func(_, _ string, r Request) error {
 			if r.Kind == RequestChange && broken.CompareAndSwap(false, true) {
 				return errLost
 			}
 			return nil
 		}
+		g.mu.Unlock()
 		if err := via.node.Change(t.Context(), Change{Kind: RemoveReplica, Name: gone.name}); err != nil {
 			t.Fatalf("the removal ended with %v", err)
 		}
