--- a/bench/soak/strike_test.go
+++ b/bench/soak/strike_test.go
@@ -10,6 +10,24 @@
 // strikes returns a random source of its own for a kind of trouble.
 func (w *world) strikes(kind uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, kind)) }
 
+// replace ends a process by a signal and starts it again.
+func (w *world) replace(p *process, by syscall.Signal) {
+	w.signal(p, by)
+	w.restart(p, false)
+}
+
+// pause stops processes for a random time of at least shortest and less than
+// spread more, both in milliseconds.
+func (w *world) pause(random *rand.Rand, shortest, spread int, all ...*process) {
+	for _, p := range all {
+		w.signal(p, syscall.SIGSTOP)
+	}
+	time.Sleep(time.Duration(shortest+random.IntN(spread)) * time.Millisecond)
+	for _, p := range all {
+		w.signal(p, syscall.SIGCONT)
+	}
+}
+
 // strikeEntries kills, pauses and stops entries, one at a time, so that others
 // serve.
 func strikeEntries(w *world, _ []*server, end time.Time) {
@@ -18,15 +36,11 @@
 		p := w.processes[cores+random.IntN(entries)]
 		switch random.IntN(4) {
 		case 0:
-			w.signal(p, syscall.SIGKILL)
-			w.restart(p, false)
+			w.replace(p, syscall.SIGKILL)
 		case 1:
-			w.signal(p, syscall.SIGTERM)
-			w.restart(p, false)
+			w.replace(p, syscall.SIGTERM)
 		case 2:
-			w.signal(p, syscall.SIGSTOP)
-			time.Sleep(time.Duration(200+random.IntN(2500)) * time.Millisecond)
-			w.signal(p, syscall.SIGCONT)
+			w.pause(random, 200, 2500, p)
 		default:
 			w.signal(p, syscall.SIGHUP)
 		}
@@ -42,15 +56,11 @@
 		p := w.processes[random.IntN(cores)]
 		switch random.IntN(6) {
 		case 0:
-			w.signal(p, syscall.SIGKILL)
-			w.restart(p, false)
+			w.replace(p, syscall.SIGKILL)
 		case 1:
-			w.signal(p, syscall.SIGTERM)
-			w.restart(p, false)
+			w.replace(p, syscall.SIGTERM)
 		case 2:
-			w.signal(p, syscall.SIGSTOP)
-			time.Sleep(time.Duration(100+random.IntN(3000)) * time.Millisecond)
-			w.signal(p, syscall.SIGCONT)
+			w.pause(random, 100, 3000, p)
 		case 3:
 			w.signal(p, syscall.SIGKILL)
 			w.restart(p, true)
@@ -65,11 +75,7 @@
 			}
 		default:
 			other := w.processes[random.IntN(cores)]
-			w.signal(p, syscall.SIGSTOP)
-			w.signal(other, syscall.SIGSTOP)
-			time.Sleep(time.Duration(100+random.IntN(2000)) * time.Millisecond)
-			w.signal(p, syscall.SIGCONT)
-			w.signal(other, syscall.SIGCONT)
+			w.pause(random, 100, 2000, p, other)
 		}
 		time.Sleep(time.Duration(300+random.IntN(1500)) * time.Millisecond)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -68,14 +68,21 @@
 	nextID   uint64
 }
 
-// newFakeBroker starts a broker.
-func newFakeBroker(t testing.TB) *fakeBroker {
+// listen opens a listener for the time of the test.
+func listen(t testing.TB) net.Listener {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fakeBroker{t: t, listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// newFakeBroker starts a broker.
+func newFakeBroker(t testing.TB) *fakeBroker {
+	listener := listen(t)
+	f := &fakeBroker{t: t, listener: listener}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -192,11 +199,7 @@
 
 // rawServer is a backend server that plays one script for each request.
 func rawServer(t testing.TB, play func(c net.Conn, r *http.Request)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listen(t)
 	go func() {
 		for {
 			c, err := listener.Accept()
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagerbarrow/route"
 	"tanagerbarrow/serving"
 	"tanagerbarrow/verdict"
@@ -129,7 +131,7 @@
 	}
 	body, err := io.ReadAll(&heldReader{call: k, memory: m, limit: limit})
 	if err != nil {
-		if v := verdict.As(err); v.Code != "" && v.Status != 0 && verdict.Of(err) == verdict.NotRun {
+		if own := (*verdict.Error)(nil); errors.As(err, &own) {
 			return err
 		}
 		return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "body_cut", "read the body")
