Bound what bodies take of an entry's memory and link

Cause: an entry buffered up to 32 MB of each response without a budget over all of them, and growing the buffer held it twice: 20 endless bodies at once took a heap of 654 MB on a host of 184 MB. Bytes that are no response were read up to 64 KB or the deadline, slowly sent ones until the deadline.

Change: bodybuf holds all bodies in chunks within one budget; growing responses leave as much free as they use, requests leave a quarter. A response without a declared length is limited by what its service usually sends and one second of the link, one that has begun by half of the remaining time if another server may run the request. A response that doesn't begin with the protocol's name is given up at once. Bodies get 94% of the link in each direction, and callers' receive buffers fit the link.

Measured: 60 endless bodies at once keep the heap at 101 MB of 184 MB; each of 12 forms of endless bytes, fast and slow, is given up in time for another server (10 of the slow ones and the memory test failed before). A control message waits 114 ms instead of seconds beside four uploads (test in virtual time).

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -1,10 +1,11 @@
 package backend
 
 import (
-	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,8 +25,12 @@
 	RawPath string
 	// Header holds the header fields; the hop-by-hop fields are not sent.
 	Header http.Header
-	// BufferedBody is the request's body if it is in memory and Body is nil.
-	BufferedBody []byte
+	// BufferedBody is the request's body, in parts, if it is in memory and Body is
+	// nil.
+	BufferedBody net.Buffers
+	// PaceBody, if set, is called before each part of a long BufferedBody is
+	// written, with its length in bytes, and delays it as the link requires.
+	PaceBody func(bytes int)
 	// BeforeBodyEnd, if set, is called once all but the end of a long
 	// BufferedBody was written. The end is written after it returns, and only
 	// then can the server start to run the request.
@@ -43,6 +48,9 @@
 	// header. The wait ends after one to two times the limit; 0 means that only
 	// the deadline limits it.
 	SilenceLimit time.Duration
+	// TransferLimit limits the time from the first byte of the final response to
+	// its end; 0 means that only the deadline limits it.
+	TransferLimit time.Duration
 	// MaxIdle is the longest time for which a reused connection may have been
 	// idle; 0 means no limit.
 	MaxIdle time.Duration
@@ -73,46 +81,61 @@
 
 // streamsBody reports whether the body is sent while the response is read.
 func (a *Attempt) streamsBody() bool {
-	return a.Body != nil || len(a.BufferedBody) > maxUnstreamedBodyBytes
+	return a.Body != nil || a.bufferedBytes() > maxUnstreamedBodyBytes
 }
 
-// delaysBodyEnd reports whether the end of the body is delayed until
-// BeforeBodyEnd returns.
-func (a *Attempt) delaysBodyEnd() bool {
-	return a.BeforeBodyEnd != nil && a.Body == nil && len(a.BufferedBody) > maxUnstreamedBodyBytes
+// bufferedBytes returns the length of BufferedBody, in bytes.
+func (a *Attempt) bufferedBytes() int {
+	n := 0
+	for _, part := range a.BufferedBody {
+		n += len(part)
+	}
+	return n
+}
+
+// timesBody reports whether the writing of the body is paced or its end delayed.
+func (a *Attempt) timesBody() bool {
+	return a.Body == nil && a.bufferedBytes() > maxUnstreamedBodyBytes && (a.BeforeBodyEnd != nil || a.PaceBody != nil)
 }
 
 // delayedEndBytes is the length of the delayed end of a body, in bytes. It fits
 // one packet, so that it arrives as soon as it is sent.
 const delayedEndBytes = 1 << 10
 
-// delayedEndBody is a body whose end is delayed until beforeEnd returns.
-type delayedEndBody struct {
-	unread    []byte
+// timedBody is a body whose parts are paced and whose end is delayed until
+// beforeEnd returns.
+type timedBody struct {
+	unread    net.Buffers
+	left      int
+	pace      func(bytes int)
 	beforeEnd func()
 }
 
 // Read returns the body up to its delayed end, calls beforeEnd once, and then
 // returns the end.
-func (b *delayedEndBody) Read(p []byte) (int, error) {
-	if len(b.unread) == 0 {
+func (b *timedBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
 		return 0, io.EOF
 	}
-	limit := len(b.unread)
+	limit := b.left
 	if b.beforeEnd != nil {
 		limit -= delayedEndBytes
 	}
 	if limit <= 0 {
 		b.beforeEnd()
-		b.beforeEnd, limit = nil, len(b.unread)
+		b.beforeEnd, limit = nil, b.left
+	}
+	p = p[:min(len(p), limit)]
+	if b.pace != nil {
+		b.pace(len(p))
 	}
-	n := copy(p, b.unread[:limit])
-	b.unread = b.unread[n:]
-	return n, nil
+	n, err := b.unread.Read(p)
+	b.left -= n
+	return n, err
 }
 
 // Close does nothing.
-func (b *delayedEndBody) Close() error { return nil }
+func (b *timedBody) Close() error { return nil }
 
 // newRequest builds the outgoing request.
 func newRequest(d Dialect, to *membership.BackendServer, a *Attempt) *http.Request {
@@ -144,10 +167,14 @@
 	switch {
 	case a.Body != nil:
 		r.Body, r.ContentLength = a.Body, a.ContentLength
-	case a.delaysBodyEnd():
-		r.Body, r.ContentLength = &delayedEndBody{unread: a.BufferedBody, beforeEnd: a.BeforeBodyEnd}, int64(len(a.BufferedBody))
+	case a.timesBody():
+		n := a.bufferedBytes()
+		r.Body = &timedBody{unread: slices.Clone(a.BufferedBody), left: n, pace: a.PaceBody, beforeEnd: a.BeforeBodyEnd}
+		r.ContentLength = int64(n)
 	case len(a.BufferedBody) > 0:
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(a.BufferedBody)), int64(len(a.BufferedBody))
+		// Reading a net.Buffers consumes it, and a later attempt needs the body too.
+		unread := slices.Clone(a.BufferedBody)
+		r.Body, r.ContentLength = io.NopCloser(&unread), int64(a.bufferedBytes())
 	}
 	return r
 }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -119,6 +119,10 @@
 	// upload sends the body while the response is read; nil if the body was
 	// written before.
 	upload *upload
+	// transferLimit is [Attempt.TransferLimit]. transferTimer closes the connection
+	// when the time for the rest of the response ends; nil while there is no limit.
+	transferLimit time.Duration
+	transferTimer *time.Timer
 }
 
 // Exchange sends the attempt once. Its errors are *[verdict.Error]. The caller
@@ -128,7 +132,7 @@
 	if err != nil {
 		return nil, dialFailure(ctx, err, to)
 	}
-	e := &exchange{pool: x.pool, conn: c, to: to, writtenBefore: c.writtenBytes(), started: time.Now()}
+	e := &exchange{pool: x.pool, conn: c, to: to, writtenBefore: c.writtenBytes(), started: time.Now(), transferLimit: a.TransferLimit}
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	r := newRequest(x.dialect, to, a)
 	res, err := e.run(a, r)
@@ -203,9 +207,18 @@
 // to make its connection reusable.
 const maxDrainBytes = 64 << 10
 
-// drain reads a body of up to maxDrainBytes to its end. A longer body closes the
-// connection.
+// drainTimeout bounds how long the rest of an unneeded body is waited for. The
+// request waits meanwhile, so it is about the time of a new connection.
+const drainTimeout = 50 * time.Millisecond
+
+// drain reads a body of up to maxDrainBytes to its end. A longer body, or one that
+// does not end within drainTimeout, closes the connection.
 func (e *exchange) drain(res *http.Response) {
+	if res.Body == http.NoBody {
+		return
+	}
+	e.stopTransferTimer()
+	e.transferTimer = time.AfterFunc(drainTimeout, func() { _ = e.conn.Close() })
 	_, _ = io.CopyN(io.Discard, res.Body, maxDrainBytes)
 	_ = res.Body.Close()
 }
@@ -228,7 +241,7 @@
 func (e *exchange) readHeader(r *http.Request) (*http.Response, error) {
 	for range maxInformational {
 		e.conn.headerBytesLeft = maxResponseHeaderBytes
-		res, err := http.ReadResponse(e.conn.reader, r)
+		res, err := e.readOneHeader(r)
 		e.conn.headerBytesLeft = -1
 		switch {
 		case err != nil:
@@ -238,10 +251,41 @@
 		case res.StatusCode >= http.StatusOK:
 			return res, nil
 		}
+		e.stopTransferTimer()
 	}
 	return nil, errors.Newf("more than %d informational answers", maxInformational)
 }
 
+// protocolName begins each response.
+const protocolName = "HTTP/1."
+
+// readOneHeader reads the header of one response. Bytes that begin no response are
+// an error at once: a line without an end would otherwise be read up to its limit.
+func (e *exchange) readOneHeader(r *http.Request) (*http.Response, error) {
+	start, err := e.conn.reader.Peek(len(protocolName))
+	if err != nil {
+		return nil, err
+	}
+	if string(start) != protocolName {
+		return nil, errors.Newf("the answer begins with %q", start)
+	}
+	if e.transferLimit > 0 && e.transferTimer == nil {
+		e.transferTimer = time.AfterFunc(e.transferLimit, func() { _ = e.conn.Close() })
+	}
+	return http.ReadResponse(e.conn.reader, r)
+}
+
+// stopTransferTimer stops the limit of the transfer. It returns false if the limit
+// has ended and the connection was closed.
+func (e *exchange) stopTransferTimer() bool {
+	if e.transferTimer == nil {
+		return true
+	}
+	stopped := e.transferTimer.Stop()
+	e.transferTimer = nil
+	return stopped
+}
+
 // fail closes the connection and returns the error of the exchange.
 func (e *exchange) fail(ctx context.Context, err error) error {
 	nothingWritten := e.conn.seal(e.writtenBefore)
@@ -271,6 +315,7 @@
 // abandon closes the connection without reuse.
 func (e *exchange) abandon() {
 	e.stopWatch()
+	e.stopTransferTimer()
 	_ = e.conn.Close()
 }
 
@@ -278,7 +323,7 @@
 // it if it must not be reused.
 func (e *exchange) finish(res *http.Response) {
 	stillOpen := e.stopWatch()
-	if !stillOpen || res.Close || !e.upload.complete() || e.conn.reader.Buffered() > 0 {
+	if withinLimit := e.stopTransferTimer(); !stillOpen || !withinLimit || res.Close || !e.upload.complete() || e.conn.reader.Buffered() > 0 {
 		_ = e.conn.Close()
 		return
 	}
--- a/backend/upload.go
+++ b/backend/upload.go
@@ -11,21 +11,21 @@
 )
 
 // uploadBufferBytes is the size of the write buffer for a body, in bytes.
-// delayedEndBufferBytes is the smaller size for a body whose end is delayed,
-// because the data in the buffer is delayed too.
+// timedBufferBytes is the smaller size for a body that is paced or whose end is
+// delayed, because the data in the buffer is delayed too.
 const (
-	uploadBufferBytes     = 64 << 10
-	delayedEndBufferBytes = 4 << 10
+	uploadBufferBytes = 64 << 10
+	timedBufferBytes  = 4 << 10
 )
 
 // lastWriteTimeout limits the wait for the last write of a body to return after
 // the complete response was received.
 const lastWriteTimeout = 10 * time.Millisecond
 
-// uploadWriters and delayedEndWriters pool the write buffers for bodies.
+// uploadWriters and timedWriters pool the write buffers for bodies.
 var (
-	uploadWriters     = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, uploadBufferBytes) }}
-	delayedEndWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, delayedEndBufferBytes) }}
+	uploadWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, uploadBufferBytes) }}
+	timedWriters  = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, timedBufferBytes) }}
 )
 
 // upload sends a request with its body in a goroutine of its own, because a
@@ -40,8 +40,8 @@
 func startUpload(c *conn, r *http.Request) *upload {
 	u := &upload{source: uploadSource{in: r.Body}, written: make(chan struct{})}
 	buffers := &uploadWriters
-	if _, delayed := r.Body.(*delayedEndBody); delayed {
-		buffers = &delayedEndWriters
+	if _, timed := r.Body.(*timedBody); timed {
+		buffers = &timedWriters
 	}
 	r.Body = &u.source
 	go u.run(c, r, buffers)
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,11 @@
 // bufferedBody is a body in memory.
 type bufferedBody []byte
 
-func (b bufferedBody) attach(a *backend.Attempt, _ int64) { a.BufferedBody = b }
+func (b bufferedBody) attach(a *backend.Attempt, _ int64) {
+	if len(b) > 0 {
+		a.BufferedBody = net.Buffers{b}
+	}
+}
 
 func (b bufferedBody) bodySentAt(start time.Time) time.Time { return start }
 
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 const (
 	// checkTimeout bounds one health check.
 	checkTimeout = 500 * time.Millisecond
+	// maxHealthBytes bounds the body of a health check, in bytes.
+	maxHealthBytes = 64 << 10
 	// minPaceChange is the change of a pace above which it is reported, in percent
 	// of the usual pace.
 	minPaceChange = 20
@@ -180,7 +183,7 @@
 	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
 		path = index.Service(s.Service).HealthPath
 	}
-	httpResponse, err := c.exchanger.Exchange(ctx, s.endpoint, &backend.Attempt{ //nolint:bodyclose // readAll closes it
+	httpResponse, err := c.exchanger.Exchange(ctx, s.endpoint, &backend.Attempt{ //nolint:bodyclose // discardBody closes it
 		Method: http.MethodGet, Target: path, Host: s.Address, Header: http.Header{},
 		ExpectServer: s.ID, Deadline: time.Now().Add(checkTimeout),
 	})
@@ -188,8 +191,7 @@
 	switch {
 	case err == nil:
 		res := checkResponse{httpResponse.StatusCode, c.dialect.Report(httpResponse.Header)}
-		_, err = readAll(httpResponse)
-		return res, err
+		return res, discardBody(httpResponse)
 	case errors.As(err, &refused):
 		return checkResponse{refused.Status, refused.Report}, err
 	default:
@@ -197,6 +199,17 @@
 	}
 }
 
+// discardBody reads the body of a health check to its end and closes it. A body
+// over maxHealthBytes is an error.
+func discardBody(res *http.Response) error {
+	defer func() { _ = res.Body.Close() }()
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxHealthBytes+1))
+	if err == nil && n > maxHealthBytes {
+		err = errors.Newf("the health response has more than %d bytes", maxHealthBytes)
+	}
+	return err
+}
+
 // finishCheck records a check's result, schedules the next check and reports the
 // sample to the broker if it changed or the last report is too old.
 func (c *checker) finishCheck(t *checkTarget, sample broker.Sample, sentAt, receivedAt time.Duration) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tanagerbarrow/backend"
+	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/route"
 	"tanagerbarrow/verdict"
@@ -18,12 +18,12 @@
 
 // The limits of forwarding.
 const (
-	// maxResponseBytes bounds the body of a response, in bytes. A response is
-	// buffered completely before it is sent to the caller so that a truncated one
-	// can be retried or reported.
-	maxResponseBytes = 32 << 20
 	// minAttemptTime is the least remaining time that is worth another attempt.
 	minAttemptTime = 30 * time.Millisecond
+	// transferShare is the part of the remaining time within which a response that
+	// has begun must be complete, if the request may be sent to another server. The
+	// rest is left for that one.
+	transferShare = 0.5
 	// queueWaitObjectiveShare and queueWaitDeadlineShare limit the wait in the
 	// broker's queue, as fractions of the time that remains until the latency
 	// objective and until the deadline. The longer of the two applies.
@@ -36,7 +36,7 @@
 type response struct {
 	status     int
 	header     http.Header
-	body       []byte
+	body       *bodybuf.Buffer
 	retryAfter time.Duration
 }
 
@@ -147,7 +147,7 @@
 	ask := broker.Ask{
 		Service: k.service, Priority: k.route.Priority,
 		ObjectiveMillis: int(objective.Milliseconds()), DeadlineMillis: int(left.Milliseconds()),
-		BodyBytes: len(k.body), SendMillis: g.sendMillis(len(k.body)), Retry: k.attemptsReached > 0, ExcludedServers: avoid, HomeRegions: k.route.HomeRegions,
+		BodyBytes: k.body.Len(), SendMillis: g.sendMillis(k.body.Len()), Retry: k.attemptsReached > 0, ExcludedServers: avoid, HomeRegions: k.route.HomeRegions,
 		Fingerprint: k.fingerprint,
 	}
 	maxQueueWait := time.Duration(max(queueWaitObjectiveShare*float64(objective), queueWaitDeadlineShare*float64(left)))
@@ -193,16 +193,16 @@
 func (g *Gateway) sendAttempt(ctx context.Context, k *callerRequest, a *attempt) (response, error) {
 	started := time.Now()
 	k.lastServerID = a.server.ID
-	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readAll closes it
-		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host,
-		Header: k.request.Header, BufferedBody: k.body, BeforeBodyEnd: g.beforeEnd(ctx, k, a), RequestID: k.id, Deadline: k.deadline,
-		ExpectServer: a.server.ID,
+	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
+		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
+		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()), BeforeBodyEnd: g.beforeEnd(ctx, k, a),
+		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, TransferLimit: k.transferLimit(),
 	})
 	res := response{}
 	var report backend.Report
 	if err == nil {
 		report = g.options.Dialect.Report(httpResponse.Header)
-		res, err = readResponse(ctx, httpResponse, a)
+		res, err = g.readResponse(ctx, k, httpResponse, a)
 	}
 	var refused *backend.RefusedError
 	if errors.As(err, &refused) {
@@ -226,10 +226,23 @@
 	}
 }
 
+// transferLimit returns the time within which a response that has begun must be
+// complete; 0 if no other server may run the request.
+func (k *callerRequest) transferLimit() time.Duration {
+	if k.route.Kind != route.Idempotent || k.attemptsRun+1 >= k.route.MaxAttempts {
+		return 0
+	}
+	return time.Duration(transferShare * float64(time.Until(k.deadline)))
+}
+
 // readResponse reads a complete response. It returns an error if the response is
 // truncated, too large or has a content encoding.
-func readResponse(ctx context.Context, res *http.Response, a *attempt) (response, error) {
-	body, err := readAll(res)
+func (g *Gateway) readResponse(ctx context.Context, k *callerRequest, res *http.Response, a *attempt) (response, error) {
+	body, err := g.readBuffered(k, res, a.server.ID)
+	if errors.Is(err, bodybuf.ErrNoMemory) {
+		return response{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, codeResponseMemory,
+			"read the response of %s", a.server.Address)
+	}
 	if err != nil {
 		return response{}, backend.ResponseReadError(ctx, err, a.server.endpoint)
 	}
@@ -242,13 +255,17 @@
 	return response{status: res.StatusCode, header: res.Header, body: body}, nil
 }
 
-// readAll reads a response's body to its end and closes it. It returns an error
-// if the body has more than maxResponseBytes.
-func readAll(res *http.Response) ([]byte, error) {
+// readBuffered reads a response's body to its end and closes it.
+func (g *Gateway) readBuffered(k *callerRequest, res *http.Response, serverID string) (*bodybuf.Buffer, error) {
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Newf("the response has more than %d bytes", maxResponseBytes)
+	limit := g.responseSizes.limit(k.service, res.ContentLength, time.Until(k.deadline))
+	body, err := g.heldBodies.Read(res.Body, res.ContentLength, bodybuf.Limits{MaxBytes: limit, LeaveOwnSize: true})
+	switch {
+	case err == nil:
+		k.held = append(k.held, body)
+		g.responseSizes.recordComplete(k.service, int64(body.Len()))
+	case errors.Is(err, bodybuf.ErrTooLarge) && res.ContentLength < 0:
+		g.responseSizes.recordExceeded(k.service, serverID)
 	}
 	return body, err
 }
@@ -263,7 +280,7 @@
 	if a.grantID == 0 {
 		return
 	}
-	r := broker.Release{ID: a.grantID, Outcome: outcome, ElapsedMillis: int(took.Milliseconds()), Pace: report.Pace, ResponseBytes: len(res.body)}
+	r := broker.Release{ID: a.grantID, Outcome: outcome, ElapsedMillis: int(took.Milliseconds()), Pace: report.Pace, ResponseBytes: res.body.Len()}
 	if outcome == broker.Answered {
 		r.KeepAliveMillis = int(report.KeepAlive.Milliseconds())
 	}
@@ -290,6 +307,8 @@
 		return broker.Unreachable
 	case backend.CodeConnectionLost, backend.CodeExchangeFailed, backend.CodeAnswerCut:
 		return broker.ConnectionLost
+	case codeResponseMemory:
+		return broker.Abandoned
 	}
 	if ctx.Err() != nil {
 		return broker.Abandoned
@@ -305,8 +324,10 @@
 	_, _ = h.WriteString(k.request.Host)
 	_, _ = h.WriteString(k.request.RequestURI)
 	var size [8]byte
-	binary.LittleEndian.PutUint64(size[:], uint64(len(k.body)))
+	binary.LittleEndian.PutUint64(size[:], uint64(k.body.Len()))
 	_, _ = h.Write(size[:])
-	_, _ = h.Write(k.body)
+	for _, chunk := range k.body.Chunks() {
+		_, _ = h.Write(chunk)
+	}
 	return h.Sum64()
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/route"
 	"tanagerbarrow/verdict"
@@ -40,10 +42,11 @@
 	version uint64
 	service string
 	request *http.Request
-	body    []byte
-	// heldBytes is the part of the body budget that the body uses.
-	heldBytes int64
-	arrived   time.Time
+	body    *bodybuf.Buffer
+	// held are the bodies whose memory is released at the end of the request: its
+	// own and those of its responses.
+	held    []*bodybuf.Buffer
+	arrived time.Time
 	// deadline is when the earlier of the caller's and the route's timeout ends,
 	// less deadlineMargin.
 	deadline time.Time
@@ -83,8 +86,8 @@
 	if err := g.classify(k); err != nil {
 		return g.writeError(c, k, err, 0)
 	}
-	defer func() { g.bodyBudget.release(k.heldBytes) }()
-	if err := k.readBody(g.bodyBudget, g.view.limits().MaxBodyBytes); err != nil {
+	defer k.releaseBodies()
+	if err := k.readBody(g.heldBodies, g.view.limits().MaxBodyBytes, g.pacer); err != nil {
 		return g.writeError(c, k, err, 0)
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), k.deadline)
@@ -165,10 +168,29 @@
 		h[name] = values
 	}
 	if k.request.Method != http.MethodHead && res.status != http.StatusNoContent && res.status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(res.body)))
+		h.Set("Content-Length", strconv.Itoa(res.body.Len()))
 	}
 	c.Response().WriteHeader(res.status)
-	_, err := c.Response().Write(res.body)
+	err := writeBody(c.Response(), res.body, g.pacer.outgoing(c.Request().Context(), res.body.Len()))
 	g.recordRequest(k, res.status, nil)
 	return errors.Wrap(err, "write the response to the caller")
 }
+
+// writeBody writes a body in parts of at most pacedPartBytes. It calls pace, if it
+// is set, before each part.
+func writeBody(w io.Writer, body *bodybuf.Buffer, pace func(bytes int)) error {
+	for _, chunk := range body.Chunks() {
+		for len(chunk) > 0 {
+			part := chunk
+			if pace != nil {
+				part = chunk[:min(len(chunk), pacedPartBytes)]
+				pace(len(part))
+			}
+			if _, err := w.Write(part); err != nil {
+				return err
+			}
+			chunk = chunk[len(part):]
+		}
+	}
+	return nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"tanagerbarrow/backend"
+	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/fleet"
 	"tanagerbarrow/route"
@@ -80,10 +81,14 @@
 	session   *session
 	checker   *checker
 	exchanger *backend.Exchanger
-	// bodyBudget limits the memory of the request bodies that are held.
-	bodyBudget *bodyBudget
-	readiness  *serving.Readiness
-	log        zerolog.Logger
+	// heldBodies limits the memory of all bodies that are held.
+	heldBodies *bodybuf.Budget
+	// responseSizes limits the length of responses.
+	responseSizes *responseSizes
+	// pacer keeps bodies from filling the host's link.
+	pacer     *linkPacer
+	readiness *serving.Readiness
+	log       zerolog.Logger
 	// successLog and failureLog pass on a bounded number of lines a second.
 	successLog, failureLog zerolog.Logger
 	placedAlone            *metrics.Counter
@@ -108,7 +113,8 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		options: o, exchanger: backend.NewExchangerWithDialect(o.Dialect), log: o.Log,
-		readiness: serving.NewReadiness(reasonStarting), bodyBudget: newBodyBudget(o.Settings.MemoryBytes),
+		readiness: serving.NewReadiness(reasonStarting), heldBodies: newHeldBodies(o.Settings.MemoryBytes),
+		responseSizes: newResponseSizes(o.Settings.LinkBytesPerSecond), pacer: newLinkPacer(o.Settings.LinkBytesPerSecond),
 		successLog:  telemetry.NewRateLimitedLogger(o.Log, "successes", maxSuccessLinesPerSecond),
 		failureLog:  telemetry.NewRateLimitedLogger(o.Log, "failures", maxFailureLinesPerSecond),
 		placedAlone: o.Metrics.GetOrCreateCounter("tanagerbarrow_placed_alone_total"),
@@ -141,7 +147,7 @@
 	}
 	e := serving.NewEcho()
 	g.registerRoutes(e)
-	callerServer, err := serving.Listen(e, s.CallerAddress, limits)
+	callerServer, err := serving.Listen(e, s.CallerAddress, limits, serving.ReceiveBuffer(callerReceiveBuffer(s.LinkBytesPerSecond)))
 	if err != nil {
 		return err
 	}
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -33,7 +33,7 @@
 // with: a fourth of the requests would run five times as long. The server starts a
 // request once it has received the end of the body, so the end is held back.
 func (g *Gateway) beforeEnd(ctx context.Context, k *callerRequest, a *attempt) func() {
-	sendTime := time.Duration(g.sendMillis(len(k.body))) * time.Millisecond
+	sendTime := time.Duration(g.sendMillis(k.body.Len())) * time.Millisecond
 	if sendTime < minLongUpload {
 		return nil
 	}
--- a/serving/server.go
+++ b/serving/server.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"golang.org/x/net/netutil"
+	"golang.org/x/sys/unix"
 
 	"tanagerbarrow/settings"
 )
@@ -24,10 +26,36 @@
 	openConnections    atomic.Int64
 }
 
+// Option changes how a listener is opened.
+type Option func(*net.ListenConfig)
+
+// ReceiveBuffer sets the size of the receive buffers of accepted connections, in
+// bytes. It bounds the data in transit that was not read yet. 0 keeps the size of
+// the operating system.
+func ReceiveBuffer(bytes int) Option {
+	return func(c *net.ListenConfig) {
+		if bytes <= 0 {
+			return
+		}
+		c.Control = func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(fd uintptr) {
+				// Accepted connections inherit the size of their listener.
+				optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+			})
+			return errors.CombineErrors(err, optionErr)
+		}
+	}
+}
+
 // Listen opens a listener at the address for the routes of e, with the given
 // limits.
-func Listen(e *echo.Echo, at netip.AddrPort, l settings.Limits) (*Server, error) {
-	listener, err := net.Listen("tcp", at.String())
+func Listen(e *echo.Echo, at netip.AddrPort, l settings.Limits, options ...Option) (*Server, error) {
+	var config net.ListenConfig
+	for _, option := range options {
+		option(&config)
+	}
+	listener, err := config.Listen(context.Background(), "tcp", at.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", at)
 	}
