Name the sender of heartbeats until the receiver has replied

Cause: heartbeats carry no sender, and a new replica knows the address of its leader only from the leader's other messages. If the first of them is lost, as while the replica's host restarts, the leader waits for the reply to its probe and sends heartbeats alone, which the replica can't answer: it stays a learner without entries for ever. Ruled out: the admission of the replica, which the leader had made.

Change: heartbeats name their sender until the receiver has acknowledged an entry.

Measured: TestLearnerSurvivesLostFirstMessages fails before and passes after.

--- a/consensus/fakes_test.go
+++ b/consensus/fakes_test.go
@@ -80,9 +80,10 @@
 	mu          sync.Mutex
 	partitioned map[string]bool
 	// onSend is called before each envelope is delivered, afterCall after each
-	// executed call.
-	onSend    func(from, to string, e Envelope)
-	afterCall func(from, to string, r Request) error
+	// executed call. dropEnvelope, if set, says which envelopes are lost.
+	onSend       func(from, to string, e Envelope)
+	afterCall    func(from, to string, r Request) error
+	dropEnvelope func(from, to string, e Envelope) bool
 }
 
 // newGroup starts a group of size hosts that bootstrap it.
@@ -203,6 +204,12 @@
 func (f *fakeTransport) Send(to raft.Member, e Envelope) {
 	onSend, _ := f.group.hooks()
 	onSend(f.from, to.Name, e)
+	f.group.mu.Lock()
+	drop := f.group.dropEnvelope
+	f.group.mu.Unlock()
+	if drop != nil && drop(f.from, to.Name, e) {
+		return
+	}
 	if n := f.group.reachable(f.from, to.Name); n != nil {
 		n.Receive(e)
 	}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -296,7 +296,9 @@
 	return nil
 }
 
-// send passes messages to the transport, in one envelope for each receiver.
+// send passes messages to the transport, in one envelope for each receiver. A
+// heartbeat names its sender only until the receiver has acknowledged an entry:
+// before, it may not know where to send its replies.
 func (n *Node) send(messages []raft.Message) {
 	envelopes := map[raft.ReplicaID]*Envelope{}
 	var order []raft.ReplicaID
@@ -312,7 +314,8 @@
 			order = append(order, m.To)
 		}
 		e.Messages = append(e.Messages, m)
-		if m.Type != raft.Heartbeat && m.Type != raft.HeartbeatReply {
+		heartbeat := m.Type == raft.Heartbeat || m.Type == raft.HeartbeatReply
+		if !heartbeat || !n.core.HasAcknowledged(m.To) {
 			e.From = n.self
 		}
 	}
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -144,3 +144,32 @@
 		g.eventually("the host is removed", func() bool { return len(leader.node.Status().Voters) == 3 })
 	})
 }
+
+// TestLearnerSurvivesLostFirstMessages loses all that the leader sends to a new
+// replica until the replica was admitted for a while, as while its host restarts. The
+// replica must still receive the log and become a voter: it learns the leader's
+// address from its messages only, and the leader sends nothing but heartbeats until
+// the replica has replied.
+func TestLearnerSurvivesLostFirstMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.stop()
+		leader := g.leader()
+		added := g.startHost()
+		var dropping atomic.Bool
+		dropping.Store(true)
+		g.mu.Lock()
+		g.dropEnvelope = func(from, to string, _ Envelope) bool {
+			return dropping.Load() && from == leader.name && to == added.name
+		}
+		g.mu.Unlock()
+		if err := leader.node.Change(t.Context(), Change{Kind: AddReplica, Name: added.name, Address: added.name}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(faultDuration)
+		dropping.Store(false)
+		g.eventually("the new replica votes", func() bool {
+			return leader.node.Status().Members.IsVoter(added.node.self.ID)
+		})
+	})
+}
--- a/consensus/raft/replication.go
+++ b/consensus/raft/replication.go
@@ -57,6 +57,13 @@
 	p.state, p.probeInFlight, p.next = probing, false, p.match+1
 }
 
+// HasAcknowledged reports whether a replica has acknowledged an entry to this
+// leader. It is true on replicas that don't lead.
+func (c *Core) HasAcknowledged(id ReplicaID) bool {
+	p := c.progress[id]
+	return p == nil || p.match > 0
+}
+
 // Propose appends commands in order and returns the entry of the first one; the
 // others have the indexes that follow. It returns false if there are no commands,
 // or if this replica does not lead or is transferring its leadership.
--- a/consensus/transport.go
+++ b/consensus/transport.go
@@ -27,7 +27,8 @@
 	// Group is the group's name.
 	Group string `json:"g"`
 	// From is the sender, so that a replica without a membership can reply. It
-	// is omitted if all messages are heartbeats.
+	// is omitted if all messages are heartbeats to a replica that has acknowledged
+	// entries.
 	From raft.Member `json:"f,omitzero"`
 	// Messages are addressed to the same replica.
 	Messages []raft.Message `json:"m"`
