Let no permission outlive a pause of an entry

Cause: an entry that was paused for seconds used the grant that it had received before, and without an answer of the broker chose servers by a view from before the pause: a server that had left, a zone that had been taken out, a slot that the broker had given to others.

Change: a grant must be used within its longest wait and 600 ms, by the clock that counts suspensions, checked right before the first byte. The soak injects responses without end and checks each process's peak memory against its limit.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -48,6 +48,9 @@
 	// header. The wait ends after one to two times the limit; 0 means that only
 	// the deadline limits it.
 	SilenceLimit time.Duration
+	// MayStart, if set, is asked right before the first byte is written. If it
+	// returns false, the attempt ends with [CodeTooLate] and nothing is written.
+	MayStart func() bool
 	// TransferLimit limits the time from the first byte of the final response to
 	// its end; 0 means that only the deadline limits it.
 	TransferLimit time.Duration
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -47,6 +47,8 @@
 	// CodeSilent means that a reused connection delivered nothing in time, or that
 	// the peer stopped acknowledging data.
 	CodeSilent = "connection_silent"
+	// CodeTooLate means that [Attempt.MayStart] no longer allowed the attempt.
+	CodeTooLate = "too_late"
 	// CodeRefused means that the backend server refused the request.
 	CodeRefused = "refused"
 	// CodeDeadline means that the caller's deadline passed.
@@ -132,6 +134,11 @@
 	if err != nil {
 		return nil, dialFailure(ctx, err, to)
 	}
+	if a.MayStart != nil && !a.MayStart() {
+		x.pool.put(c)
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeTooLate,
+			"the permission to use backend server %s has run out", to.Address)
+	}
 	e := &exchange{pool: x.pool, conn: c, to: to, writtenBefore: c.writtenBytes(), started: time.Now(), transferLimit: a.TransferLimit}
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	r := newRequest(x.dialect, to, a)
--- a/bench/soak/server_test.go
+++ b/bench/soak/server_test.go
@@ -75,6 +75,8 @@
 	faultSilence
 	faultCutAnswer
 	faultRefuse
+	faultEndlessHeader
+	faultEndlessBody
 	faultCount
 )
 
@@ -197,6 +199,11 @@
 				_, _ = to.Write(buffer[:n/2])
 				return
 			}
+		case faultEndlessHeader, faultEndlessBody:
+			if answer {
+				sendWithoutEnd(to, s.fault.Load() == faultEndlessBody)
+				return
+			}
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
@@ -204,6 +211,18 @@
 	}
 }
 
+// sendWithoutEnd sends bytes that are no answer, alone or as the body of one, until
+// the entry closes the connection.
+func sendWithoutEnd(to net.Conn, inBody bool) {
+	var err error
+	if inBody {
+		_, err = io.WriteString(to, "HTTP/1.1 200 OK\r\n\r\n")
+	}
+	for filler := bytes.Repeat([]byte("rot "), 4<<10); err == nil; {
+		_, err = to.Write(filler)
+	}
+}
+
 // sendHeartbeats sends heartbeats until its leaving is acknowledged, and returns once
 // the server has ended.
 func (s *server) sendHeartbeats() {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -93,6 +93,9 @@
 	close(stop)
 	callers.Wait()
 	h.checkRequests(servers)
+	for _, p := range h.processes {
+		h.checkMemory(p)
+	}
 	if len(h.failures) == 0 {
 		return
 	}
--- a/bench/soak/world_test.go
+++ b/bench/soak/world_test.go
@@ -135,12 +135,12 @@
 internalPortRange: [%d, %d]
 seeds: [%s]
 bootstrap: %v
-limits: {memoryMb: 280}
+limits: {memoryMb: %d}
 dataDirectory: %q
 heartbeatIntervalMs: 500
 faultTolerance: {machines: 2}
 bounds: ["drainMs=2000", "gracePeriodS=6", "retryBudgetRatio=0.2", "budgetExtraRetries=60", "budgetWindowS=10", "probesPerS=60"]
-`, p.name, p.address, p.zone, regionOf(p.zone), listen, h.basePort+10, h.basePort+12, strings.Join(seeds, ", "), bootstrap, p.data)
+`, p.name, p.address, p.zone, regionOf(p.zone), listen, h.basePort+10, h.basePort+12, strings.Join(seeds, ", "), bootstrap, memoryMB, p.data)
 }
 
 // start writes the settings of a process and starts it.
@@ -164,8 +164,27 @@
 	}()
 }
 
+// memoryMB is the memory of each process, in megabytes. Holding it is checked, not
+// enforced.
+const memoryMB = 184
+
+// checkMemory fails the test if a process has used more than its memory.
+func (h *harness) checkMemory(p *process) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return
+	}
+	for line := range strings.Lines(string(data)) {
+		var kilobytes int
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 && kilobytes > memoryMB<<10 {
+			h.fail("MEMORY: %s used %d MB of %d", p.name, kilobytes>>10, memoryMB)
+		}
+	}
+}
+
 // signal sends a signal to a process that this run started, by its process ID.
 func (h *harness) signal(p *process, s syscall.Signal) {
+	h.checkMemory(p)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p.lastSignalAt = time.Now()
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/declare"
 	"tanagerbarrow/link"
@@ -57,7 +58,7 @@
 type leader struct {
 	c    *Coordinator
 	term uint64
-	// leaseEnd is the end of the lease, in nanoseconds of [bootTime].
+	// leaseEnd is the end of the lease, in nanoseconds of [boottime.Now].
 	leaseEnd atomic.Int64
 	events   chan func(time.Time)
 	// urgent holds the events that are handled before all others: changes of the
@@ -83,7 +84,7 @@
 }
 
 // newLeader returns the leader of a term. Its lease ends at leaseEnd, in
-// [bootTime].
+// [boottime.Now].
 func newLeader(c *Coordinator, term uint64, leaseEnd time.Duration) *leader {
 	b := c.options.Settings.Bounds
 	l := &leader{
@@ -102,11 +103,11 @@
 	return l
 }
 
-// extendLease sets the end of the lease, in [bootTime].
+// extendLease sets the end of the lease, in [boottime.Now].
 func (l *leader) extendLease(leaseEnd time.Duration) { l.leaseEnd.Store(int64(leaseEnd)) }
 
 // leaseValid reports whether the lease holds.
-func (l *leader) leaseValid() bool { return int64(bootTime()) < l.leaseEnd.Load() }
+func (l *leader) leaseValid() bool { return int64(boottime.Now()) < l.leaseEnd.Load() }
 
 // stop ends run.
 func (l *leader) stop() { close(l.done) }
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -4,8 +4,7 @@
 	"context"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"tanagerbarrow/boottime"
 	"tanagerbarrow/consensus/raft"
 	"tanagerbarrow/link"
 	"tanagerbarrow/protocol"
@@ -17,17 +16,6 @@
 // fetchRecordsTimeout bounds the call for another host's records.
 const fetchRecordsTimeout = 700 * time.Millisecond
 
-// bootTime returns the time since the host booted, including the time it was
-// suspended, or 0 if the clock can't be read. A lease measured by the monotonic
-// clock would outlive a suspension.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return 0
-	}
-	return time.Duration(t.Nano())
-}
-
 // maintainLease renews the lease until ctx ends, so that this host runs the
 // broker while a quorum confirms that it leads.
 func (c *Coordinator) maintainLease(ctx context.Context) {
@@ -55,7 +43,7 @@
 		c.stopLeading("new term")
 		l = nil
 	}
-	requestedAt := bootTime()
+	requestedAt := boottime.Now()
 	ctx, cancel := context.WithTimeout(ctx, leaseDuration)
 	defer cancel()
 	confirm := c.node.HeartbeatReadBarrier
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -11,6 +11,7 @@
 
 	"tanagerbarrow/backend"
 	"tanagerbarrow/bodybuf"
+	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/route"
 	"tanagerbarrow/verdict"
@@ -29,6 +30,12 @@
 	// objective and until the deadline. The longer of the two applies.
 	queueWaitObjectiveShare = 0.3
 	queueWaitDeadlineShare  = 0.05
+	// grantStartTimeout is the time after the longest wait in the broker's queue
+	// within which a grant must be used. Together they are shorter than the time for
+	// which the broker keeps the grants of an entry that it has lost, so that an entry
+	// that was paused uses no slot, server or zone that the broker has given to others
+	// or closed since. It leaves time to open a connection.
+	grantStartTimeout = 600 * time.Millisecond
 )
 
 // response is a complete response of a backend server. Beside an error only
@@ -46,8 +53,13 @@
 	// grantID identifies the broker's grant; 0 if the entry chose the server
 	// without a broker.
 	grantID uint64
+	// startBy is when the attempt must begin, in [boottime.Now]; 0 for any time.
+	startBy time.Duration
 }
 
+// mayStart reports whether the attempt may still begin.
+func (a *attempt) mayStart() bool { return a.startBy == 0 || boottime.Now() <= a.startBy }
+
 // forward sends a request to backend servers until one returns a complete
 // response that is not a server error, or no further attempt is allowed.
 func (g *Gateway) forward(ctx context.Context, k *callerRequest) (response, error) {
@@ -151,6 +163,7 @@
 		Fingerprint: k.fingerprint,
 	}
 	maxQueueWait := time.Duration(max(queueWaitObjectiveShare*float64(objective), queueWaitDeadlineShare*float64(left)))
+	startBy := boottime.Now() + maxQueueWait + grantStartTimeout
 	r, err := g.session.ask(ctx, ask, maxQueueWait)
 	k.brokerWait += time.Since(now)
 	k.lastRefusal = r.refusal
@@ -164,11 +177,13 @@
 			return nil, nil, errors.Newf("the broker granted server %d, which is not in the view", r.grant.Server)
 		}
 		g.view.startRequest(s)
-		return &attempt{server: s, grantID: r.grant.ID}, nil, nil
+		return &attempt{server: s, grantID: r.grant.ID, startBy: startBy}, nil, nil
 	case !errors.Is(err, errNoBroker):
 		return nil, nil, err
 	case k.attemptsReached > 0:
 		return nil, nil, errors.New("no retry is sent without a broker")
+	case g.pauses.viewOutdated():
+		return nil, nil, errors.Wrap(err, "the process was paused and has not heard of the broker since")
 	}
 	s := g.view.chooseWithoutBroker(k.service, k.route, g.options.Settings.Host.AvailabilityZone, avoid, now)
 	if s == nil {
@@ -197,6 +212,7 @@
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()), BeforeBodyEnd: g.beforeEnd(ctx, k, a),
 		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, TransferLimit: k.transferLimit(),
+		MayStart: a.mayStart,
 	})
 	res := response{}
 	var report backend.Report
@@ -221,7 +237,9 @@
 		k.attemptsRun++
 		return
 	}
-	if verdict.As(err).Code != backend.CodeDialFailed {
+	switch verdict.As(err).Code {
+	case backend.CodeDialFailed, backend.CodeTooLate:
+	default:
 		k.attemptsReached++
 	}
 }
@@ -274,7 +292,7 @@
 // granted it, releases the grant.
 func (g *Gateway) finishAttempt(ctx context.Context, k *callerRequest, a *attempt, report backend.Report, res response, err error, took time.Duration) {
 	outcome := outcomeOf(ctx, res, err)
-	serverFailed := outcome != broker.Answered && outcome != broker.Abandoned
+	serverFailed := outcome != broker.Answered && outcome != broker.Abandoned && outcome != broker.Unused
 	g.view.finishRequest(a.server, serverFailed, time.Now())
 	g.logFailedAttempt(k, a, outcome, err, took)
 	if a.grantID == 0 {
@@ -307,6 +325,8 @@
 		return broker.Unreachable
 	case backend.CodeConnectionLost, backend.CodeExchangeFailed, backend.CodeAnswerCut:
 		return broker.ConnectionLost
+	case backend.CodeTooLate:
+		return broker.Unused
 	case codeResponseMemory:
 		return broker.Abandoned
 	}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -82,6 +82,7 @@
 		return g.writeError(c, k, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "stopping",
 			"this entry is stopping and starts no more requests"), stoppingRetryAfter)
 	}
+	g.pauses.awaitView(c.Request().Context())
 	g.view.awaitConfiguration(c.Request().Context())
 	if err := g.classify(k); err != nil {
 		return g.writeError(c, k, err, 0)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"tanagerbarrow/backend"
 	"tanagerbarrow/bodybuf"
+	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/fleet"
 	"tanagerbarrow/route"
@@ -88,7 +89,9 @@
 	// pacer keeps bodies from filling the host's link.
 	pacer     *linkPacer
 	readiness *serving.Readiness
-	log       zerolog.Logger
+	// pauses detects that the process was paused.
+	pauses *pauseDetector
+	log    zerolog.Logger
 	// successLog and failureLog pass on a bounded number of lines a second.
 	successLog, failureLog zerolog.Logger
 	placedAlone            *metrics.Counter
@@ -121,8 +124,10 @@
 	}
 	g.view = newView(o.Decode, o.Settings.Regions)
 	g.session = newSession(o.Settings, g.view, o.Log)
+	g.pauses = newPauseDetector(boottime.Now, g.handlePause)
 	g.checker = newChecker(g.view, o.Dialect, o.Settings.Bounds.HealthChecksPerSecond, g.session.reportSamples)
 	g.session.assignChecks = g.checker.assign
+	g.session.onView = g.pauses.viewRenewed
 	g.session.onStateChange = g.updateReadiness
 	return g
 }
@@ -134,6 +139,13 @@
 	}
 }
 
+// handlePause ends the session, which the broker has ended too, so that the next one
+// brings the whole view.
+func (g *Gateway) handlePause(paused time.Duration) {
+	g.log.Warn().Str("event", "paused").Dur("for_ms", paused).Send()
+	g.session.closeConnection()
+}
+
 // random returns a random number from 0 to 1.
 func (g *Gateway) random() float64 { return rand.Float64() }
 
@@ -161,6 +173,7 @@
 	backgroundCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go g.session.run(backgroundCtx)
+	go g.pauses.run(backgroundCtx)
 	go g.checker.run(backgroundCtx)
 	serveErrors := make(chan error, 2)
 	go func() { serveErrors <- callerServer.Serve() }()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -175,6 +175,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go g.session.run(ctx)
+	go g.pauses.run(ctx)
 	e := serving.NewEcho()
 	g.registerRoutes(e)
 	front := httptest.NewServer(e)
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -35,6 +35,9 @@
 // errNoBroker means that no broker is connected or that it did not reply in time.
 var errNoBroker = errors.New("no broker replies")
 
+// errPaused is the reason for closing the connection after a pause of the process.
+var errPaused = errors.New("the process was paused")
+
 // reply is the broker's reply to an ask; one field is set.
 type reply struct {
 	grant   *broker.Grant
@@ -51,6 +54,8 @@
 	// onStateChange is called after each connection to a broker and after each
 	// configuration that was applied.
 	onStateChange func()
+	// onView is called after each whole view that was applied.
+	onView func()
 
 	mu   sync.Mutex
 	conn *link.Conn
@@ -177,10 +182,7 @@
 			c.session.onStateChange()
 		}
 	case protocol.KindView:
-		var m protocol.View
-		if err = link.Decode(body, &m); err == nil {
-			c.session.view.applyView(m, time.Now())
-		}
+		err = c.handleView(body)
 	case protocol.KindCheckAssignment:
 		var m protocol.CheckAssignment
 		if err = link.Decode(body, &m); err == nil {
@@ -230,6 +232,19 @@
 	return c.conn.Send(protocol.KindSubscribe, m)
 }
 
+// handleView applies changes of servers and zones.
+func (c *controlConn) handleView(body []byte) error {
+	var m protocol.View
+	if err := link.Decode(body, &m); err != nil {
+		return err
+	}
+	c.session.view.applyView(m, time.Now())
+	if m.Full {
+		c.session.onView()
+	}
+	return nil
+}
+
 // handleWelcome starts to use the connection for asks. It returns an error if the
 // broker's term is older than one seen before.
 func (c *controlConn) handleWelcome(body []byte) error {
@@ -264,6 +279,18 @@
 	s.log.Warn().Str("event", "broker_lost").AnErr("reason", reason).Send()
 }
 
+// closeConnection closes the connection to the broker, so that run opens another.
+func (s *session) closeConnection() {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	conn.Close()
+	s.endConnection(conn, errPaused)
+}
+
 // ask asks the broker for a grant and waits for the reply. It returns
 // [errNoBroker] if no broker is connected or it did not reply in time.
 func (s *session) ask(ctx context.Context, ask broker.Ask, maxQueueWait time.Duration) (reply, error) {
