Distribute health checks once for many new sessions

Cause: each session that an entry opened made the broker distribute the checks of all servers again.

Change: new sessions wait up to 60 ms for a distribution.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -27,8 +27,11 @@
 	// small part of the shortest wait.
 	brokerTickPeriod = 20 * time.Millisecond
 	// checkDistributionPeriod is how often health checks are distributed among
-	// entries.
+	// entries, and sessionCheckDelay the least time between two distributions because
+	// of new sessions. When hundreds of entries connect at once, one distribution
+	// covers many of them.
 	checkDistributionPeriod = 500 * time.Millisecond
+	sessionCheckDelay       = 60 * time.Millisecond
 	// documentInterval is the minimum time between two broadcasts of a
 	// configuration, which combines configurations declared in quick succession
 	// into one message. It is a small part of the time within which they must be
@@ -81,6 +84,8 @@
 	// entry checks.
 	assignedChecks      map[string][]uint32
 	checksDistributedAt time.Time
+	// sessionsAdded is whether sessions were added since the last distribution.
+	sessionsAdded bool
 }
 
 // newLeader returns the leader of a term. Its lease ends at leaseEnd, in
@@ -159,8 +164,12 @@
 	if l.state.Document.Version > l.sentDocument.Version && now.Sub(l.documentSentAt) >= documentInterval {
 		l.broadcastDocument(now)
 	}
-	if now.Sub(l.checksDistributedAt) >= checkDistributionPeriod {
-		l.checksDistributedAt = now
+	period := checkDistributionPeriod
+	if l.sessionsAdded {
+		period = sessionCheckDelay
+	}
+	if now.Sub(l.checksDistributedAt) >= period {
+		l.checksDistributedAt, l.sessionsAdded = now, false
 		l.distributeChecks()
 	}
 }
@@ -224,7 +233,7 @@
 	}
 	l.sendFullView(name, in, now)
 	delete(l.assignedChecks, name)
-	l.distributeChecks()
+	l.sessionsAdded = true
 }
 
 // disconnect removes the session of a closed connection, unless a newer
