Connect to all control hosts at once to find the broker

Cause: an entry dialed one random control host after the other, 200 ms for each one that was down, and closed the connection to hosts that didn't lead. After a loss of power the entries found a broker that had started 0.1 to 0.4 s before.

Change: a search keeps a connection to each control host and dials those that don't answer every 80 ms; the leader itself tells when it leads. A broker of an older term is refused as before.

--- /dev/null
+++ b/gateway/search.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"tanagerbarrow/link"
+	"tanagerbarrow/protocol"
+)
+
+// searchInterval is the time between two dials to each control host during a search.
+// It is shorter than a dial's timeout: a dial that was sent just before its host came
+// up is lost, and waiting for it would cost most of the time of an election.
+const searchInterval = 80 * time.Millisecond
+
+// brokerSearch connects to all control hosts at once until one of them is the broker.
+// Hosts that are down then cost no time, and the entry learns of a new leader from the
+// leader itself.
+type brokerSearch struct {
+	session *session
+	ctx     context.Context
+	// end ends the search and closes all connections but the one to the broker.
+	end context.CancelFunc
+	// hostsAdded receives a value when a directory has named another control host.
+	hostsAdded chan struct{}
+
+	mu sync.Mutex
+	// connected holds the addresses to which a connection is open.
+	connected map[string]bool
+}
+
+// findBroker searches until there is a connection to a broker or ctx ends. The
+// connection outlives the search.
+func (s *session) findBroker(ctx context.Context) {
+	searchCtx, end := context.WithCancel(ctx)
+	defer end()
+	search := &brokerSearch{
+		session: s, ctx: searchCtx, end: end, hostsAdded: make(chan struct{}, 1), connected: map[string]bool{},
+	}
+	ticker := time.NewTicker(searchInterval)
+	defer ticker.Stop()
+	for searchCtx.Err() == nil {
+		search.dialAll(ctx)
+		select {
+		case <-searchCtx.Done():
+		case <-search.hostsAdded:
+		case <-ticker.C:
+		}
+	}
+}
+
+// dialAll dials each control host to which no connection is open. Connections that
+// become the session's end with ctx.
+func (b *brokerSearch) dialAll(ctx context.Context) {
+	b.session.mu.Lock()
+	hosts := slices.Collect(maps.Keys(b.session.controlHosts))
+	b.session.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, address := range hosts {
+		if !b.connected[address] {
+			go b.connect(ctx, address)
+		}
+	}
+}
+
+// connect connects to a control host and receives its messages until the connection
+// ends.
+func (b *brokerSearch) connect(ctx context.Context, address string) {
+	conn, err := link.Dial(b.ctx, address)
+	if err != nil {
+		b.session.log.Debug().Str("event", "control_host_unreachable").Str("address", address).Err(err).Send()
+		return
+	}
+	defer conn.Close()
+	if !b.claim(address) {
+		return
+	}
+	defer b.release(address)
+	stopWithProcess := context.AfterFunc(ctx, conn.Close)
+	defer stopWithProcess()
+	c := &controlConn{session: b.session, search: b, conn: conn, address: address}
+	stopWithSearch := context.AfterFunc(b.ctx, func() {
+		if !c.active() {
+			conn.Close()
+		}
+	})
+	defer stopWithSearch()
+	hello := protocol.Hello{
+		Name: b.session.settings.Host.Name, AvailabilityZone: b.session.settings.Host.AvailabilityZone,
+	}
+	if conn.Send(protocol.KindHello, hello) != nil {
+		return
+	}
+	b.session.endConnection(conn, conn.Run(c.receive, nil))
+}
+
+// claim reports whether this is the first open connection to an address: another dial
+// may have been quicker.
+func (b *brokerSearch) claim(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.connected[address] {
+		return false
+	}
+	b.connected[address] = true
+	return true
+}
+
+// release records that the connection to an address has ended.
+func (b *brokerSearch) release(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.connected, address)
+}
+
+// addHosts stores the control hosts of a directory, and dials new ones at once.
+func (b *brokerSearch) addHosts(d protocol.Directory) {
+	s := b.session
+	s.mu.Lock()
+	known := len(s.controlHosts)
+	for _, h := range d.Hosts {
+		s.controlHosts[h.PeerAddress] = true
+	}
+	if d.LeaderAddress != "" {
+		s.controlHosts[d.LeaderAddress] = true
+	}
+	added := len(s.controlHosts) > known
+	s.mu.Unlock()
+	if !added {
+		return
+	}
+	select {
+	case b.hostsAdded <- struct{}{}:
+	default:
+	}
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,13 +14,10 @@
 	"tanagerbarrow/protocol"
 )
 
-// The times of the search for the broker.
+// The times of a session.
 const (
-	// searchInterval is the pause between two attempts to find the broker, a small
-	// part of the duration of an election.
-	searchInterval = 60 * time.Millisecond
-	// handshakeTimeout bounds the time from the connection to a control host until
-	// the broker's welcome.
+	// handshakeTimeout bounds the time from the subscription until the broker's
+	// welcome.
 	handshakeTimeout = 300 * time.Millisecond
 	// replyMargin is added to the longest wait of an ask in the broker's queue. It
 	// covers a round trip between regions, the broker's tick and a busy host.
@@ -65,7 +61,6 @@
 
 	// controlHosts holds the addresses of the control hosts.
 	controlHosts map[string]bool
-	namedLeader  string
 	nextSeq      uint64
 	// pendingAsks are keyed by their sequence numbers, and heldGrants maps the
 	// identifier of a grant to that of its server.
@@ -85,93 +80,65 @@
 	}
 }
 
-// run keeps the session connected until ctx ends. If a control host names another
-// one as the leader, run connects to that one at once, but follows only one such
-// redirect before the next pause: two hosts may each name the other.
+// run keeps the session connected until ctx ends.
 func (s *session) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if address := s.nextAddress(); address != "" {
-			s.connect(ctx, address)
-		}
-		if address := s.takeNamedLeader(); address != "" {
-			s.connect(ctx, address)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(searchInterval):
+		s.findBroker(ctx)
+		for conn := s.activeConn(); conn != nil; conn = s.activeConn() {
+			<-conn.Done()
+			s.endConnection(conn, conn.Err())
 		}
 	}
 }
 
-// takeNamedLeader returns the address of the leader that a control host has named
-// since the last call, or an empty string.
-func (s *session) takeNamedLeader() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	leader := s.namedLeader
-	s.namedLeader = ""
-	return leader
-}
-
-// nextAddress returns the address of the named leader, or else of a random control
-// host.
-func (s *session) nextAddress() string {
-	if leader := s.takeNamedLeader(); leader != "" {
-		return leader
-	}
+// activeConn returns the connection to the broker, or nil.
+func (s *session) activeConn() *link.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := rand.IntN(max(1, len(s.controlHosts)))
-	for address := range s.controlHosts {
-		if at--; at < 0 {
-			return address
-		}
-	}
-	return ""
-}
-
-// connect connects to a control host. It returns when the connection ends, which
-// is at once if the host is not the leader.
-func (s *session) connect(ctx context.Context, address string) {
-	conn, err := link.Dial(ctx, address)
-	if err != nil {
-		s.log.Debug().Str("event", "control_host_unreachable").Str("address", address).Err(err).Send()
-		return
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, conn.Close)
-	defer stop()
-	hello := protocol.Hello{
-		Name: s.settings.Host.Name, AvailabilityZone: s.settings.Host.AvailabilityZone,
-	}
-	if conn.Send(protocol.KindHello, hello) != nil {
-		return
-	}
-	c := &controlConn{session: s, conn: conn, address: address}
-	c.handshakeTimer = time.AfterFunc(handshakeTimeout, conn.Close)
-	defer c.handshakeTimer.Stop()
-	err = conn.Run(c.receive, nil)
-	s.endConnection(conn, err)
+	return s.conn
 }
 
 // controlConn is a connection to a control host.
 type controlConn struct {
-	session        *session
-	conn           *link.Conn
-	address        string
+	session *session
+	search  *brokerSearch
+	conn    *link.Conn
+	address string
+	// subscribed is whether a subscription was sent to the host since it last said that
+	// it doesn't lead.
+	subscribed bool
+	// handshakeTimer closes the connection if no welcome follows the subscription.
 	handshakeTimer *time.Timer
 }
 
+// active reports whether the connection is the one to the broker.
+func (c *controlConn) active() bool { return c.session.activeConn() == c.conn }
+
 // receive handles a message of the control host. It closes the connection if the
 // message is invalid.
 func (c *controlConn) receive(kind link.Kind, body []byte) {
-	c.session.markReceived()
 	var err error
 	switch kind {
 	case protocol.KindDirectory:
 		err = c.handleDirectory(body)
 	case protocol.KindWelcome:
 		err = c.handleWelcome(body)
+	default:
+		if c.active() {
+			c.session.markReceived()
+			err = c.receiveFromBroker(kind, body)
+		}
+	}
+	if err != nil {
+		c.session.log.Warn().Str("event", "session_broken").Uint8("kind", uint8(kind)).Err(err).Send()
+		c.conn.Close()
+	}
+}
+
+// receiveFromBroker handles a message of the broker.
+func (c *controlConn) receiveFromBroker(kind link.Kind, body []byte) error {
+	var err error
+	switch kind {
 	case protocol.KindDocument:
 		var d protocol.Document
 		if err = link.Decode(body, &d); err == nil {
@@ -199,37 +166,42 @@
 			c.session.deliverReply(r.Seq, reply{refusal: &r})
 		}
 	}
-	if err != nil {
-		c.session.log.Warn().Str("event", "session_broken").Uint8("kind", uint8(kind)).Err(err).Send()
-		c.conn.Close()
-	}
+	return err
 }
 
-// handleDirectory stores the addresses of the control hosts. It subscribes if this
-// host is the leader, and else closes the connection.
+// handleDirectory stores the addresses of the control hosts, and subscribes if this
+// host is the leader. The connection to a host that doesn't lead stays open during a
+// search, because the host sends a directory as soon as it leads.
 func (c *controlConn) handleDirectory(body []byte) error {
 	var d protocol.Directory
 	if err := link.Decode(body, &d); err != nil {
 		return err
 	}
-	s := c.session
-	s.mu.Lock()
-	for _, h := range d.Hosts {
-		s.controlHosts[h.PeerAddress] = true
-	}
+	c.search.addHosts(d)
 	if d.LeaderAddress != c.address {
-		s.namedLeader = d.LeaderAddress
-		s.mu.Unlock()
-		c.conn.Close()
+		c.subscribed = false
+		if c.active() {
+			c.conn.Close()
+		}
+		return nil
+	}
+	if c.subscribed {
 		return nil
 	}
-	m := protocol.Subscribe{}
+	c.subscribed = true
+	c.handshakeTimer = time.AfterFunc(handshakeTimeout, c.conn.Close)
+	return c.conn.Send(protocol.KindSubscribe, c.session.subscription())
+}
+
+// subscription returns the message that asks a broker for a session.
+func (s *session) subscription() protocol.Subscribe {
+	m := protocol.Subscribe{Version: s.view.version()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for id, server := range s.heldGrants {
 		m.Held = append(m.Held, broker.HeldGrant{ServerID: server, ID: id})
 	}
-	s.mu.Unlock()
-	m.Version = s.view.version()
-	return c.conn.Send(protocol.KindSubscribe, m)
+	return m
 }
 
 // handleView applies changes of servers and zones.
@@ -255,15 +227,38 @@
 	if !c.session.view.beginTerm(w.Term) {
 		return errors.Newf("the broker's term %d is older than the current term", w.Term)
 	}
-	c.handshakeTimer.Stop()
-	c.session.mu.Lock()
-	c.session.conn = c.conn
-	c.session.mu.Unlock()
+	if c.handshakeTimer != nil {
+		c.handshakeTimer.Stop()
+	}
+	if before := c.session.use(c.conn); before != nil {
+		before.Close()
+	}
 	c.session.log.Info().Str("event", "broker_found").Str("address", c.address).Uint64("term", w.Term).Send()
 	c.session.onStateChange()
+	c.search.end()
 	return nil
 }
 
+// use makes a connection the one to the broker, and returns the one before it, whose
+// asks it fails; nil if there was none.
+func (s *session) use(conn *link.Conn) (before *link.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before = s.conn
+	s.conn = conn
+	s.lastReceived, s.suspectSince = time.Now(), time.Time{}
+	s.failPendingAsks()
+	return before
+}
+
+// failPendingAsks ends the asks that wait for a reply. The caller holds the lock.
+func (s *session) failPendingAsks() {
+	for seq, pending := range s.pendingAsks {
+		close(pending)
+		delete(s.pendingAsks, seq)
+	}
+}
+
 // endConnection stops using a connection and fails its pending asks.
 func (s *session) endConnection(conn *link.Conn, reason error) {
 	s.mu.Lock()
@@ -272,10 +267,7 @@
 		return
 	}
 	s.conn, s.suspectSince = nil, time.Time{}
-	for seq, pending := range s.pendingAsks {
-		close(pending)
-		delete(s.pendingAsks, seq)
-	}
+	s.failPendingAsks()
 	s.log.Warn().Str("event", "broker_lost").AnErr("reason", reason).Send()
 }
 
