Ask servers for their load before choosing one without a broker

Cause: without a broker an entry chose among its region's servers blindly. One in four machines is slow at a time, and other entries fill the same servers.

Change: the three cheapest servers are asked for their load at the same time, over the connections that the request may use; the first with a free slot at its usual pace is chosen, after 40 ms the best of those that responded.

--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"cmp"
+	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"tanagerbarrow/route"
@@ -18,22 +22,129 @@
 	// requests.
 	otherZoneCost   = 0.2
 	otherRegionCost = 0.6
+	// maxCandidates is how many servers are asked for their load. One in four machines
+	// is slow at a time, so that one of three nearly always runs at its usual pace.
+	maxCandidates = 3
+	// loadTimeout bounds the wait for their responses: twice the round trip between
+	// regions.
+	loadTimeout = 40 * time.Millisecond
 )
 
-// chooseWithoutBroker chooses a backend server and counts the request on it. It
-// uses warm servers only, since nothing counts what other entries send to cold
-// ones, and at most half of the slots of each, since other entries use them too.
-// It returns nil if no server may be used.
-func (v *view) chooseWithoutBroker(service string, r *route.Route, zone string, avoid []uint32, now time.Time) *server {
+// choose chooses a backend server without a broker and counts the request on it. It
+// asks the cheapest servers for their load at the same time, because nothing else
+// tells which of them have a free slot and run at their usual pace: a blind choice
+// meets a slow machine with every fourth request. It returns nil if no server may be
+// used.
+func (a *aloneChooser) choose(ctx context.Context, service string, r *route.Route, avoid []uint32) *server {
+	candidates := a.view.candidatesWithoutBroker(service, r, a.zone, avoid, time.Now())
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := candidates[0]
+	if len(candidates) > 1 {
+		best = a.leastLoaded(ctx, candidates)
+	}
+	a.view.startRequest(best)
+	return best
+}
+
+// aloneChooser chooses servers while there is no broker.
+type aloneChooser struct {
+	view *view
+	zone string
+	// readLoad requests a server's load.
+	readLoad func(context.Context, *server) (checkResponse, error)
+}
+
+// loadReport is a candidate's response.
+type loadReport struct {
+	server *server
+	// position is the candidate's place in the order of cost.
+	position int
+	response checkResponse
+	err      error
+}
+
+// leastLoaded returns the first candidate that reports a free slot and its usual pace.
+// If none does within loadTimeout, it returns the best of those that responded, else
+// the first candidate.
+func (a *aloneChooser) leastLoaded(ctx context.Context, candidates []*server) *server {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	reports := make(chan loadReport, len(candidates))
+	var requests sync.WaitGroup
+	for at, s := range candidates {
+		requests.Go(func() {
+			res, err := a.readLoad(ctx, s)
+			reports <- loadReport{s, at, res, err}
+		})
+	}
+	go func() {
+		// Requests that are still in progress keep their connections usable.
+		requests.Wait()
+		cancel()
+	}()
+	best := loadReport{server: candidates[0], position: len(candidates), err: context.DeadlineExceeded}
+	for range candidates {
+		select {
+		case r := <-reports:
+			if r.idle() {
+				return r.server
+			}
+			if r.betterThan(best) {
+				best = r
+			}
+		case <-ctx.Done():
+			return best.server
+		}
+	}
+	return best.server
+}
+
+// idle reports whether the server can run a request at its usual pace now.
+func (r loadReport) idle() bool {
+	return r.usable() && r.hasSlot() && r.response.report.Pace <= maxSteadyPace
+}
+
+// usable reports whether the expected server responded and is not cold.
+func (r loadReport) usable() bool {
+	id := r.response.report.ServerID
+	return r.err == nil && r.response.status == http.StatusOK && (id == "" || id == r.server.ID) && r.response.report.Cold <= 0
+}
+
+// hasSlot reports whether the server has a free slot, or reports no load.
+func (r loadReport) hasSlot() bool {
+	report := r.response.report
+	return report.Slots == 0 || report.Running+report.Waiting < report.Slots
+}
+
+// betterThan orders the reports by usability, free slots, pace and cost.
+func (r loadReport) betterThan(other loadReport) bool {
+	switch {
+	case r.usable() != other.usable():
+		return r.usable()
+	case r.hasSlot() != other.hasSlot():
+		return r.hasSlot()
+	case r.response.report.Pace != other.response.report.Pace:
+		return r.response.report.Pace < other.response.report.Pace
+	default:
+		return r.position < other.position
+	}
+}
+
+// candidatesWithoutBroker returns the cheapest backend servers that may be used
+// without a broker, the cheapest first, at most maxCandidates. They are warm, since
+// nothing counts what other entries send to cold ones, and at most half of their slots
+// are in use by this entry, since other entries use them too.
+func (v *view) candidatesWithoutBroker(service string, r *route.Route, zone string, avoid []uint32, now time.Time) []*server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var best *server
-	var lowest float64
+	costs := map[*server]float64{}
+	var usable []*server
 	for _, s := range v.servers {
-		usable := s.Service == service && r.AllowedIn(s.region) && !v.isZoneOut(s.AvailabilityZone) &&
+		allowed := s.Service == service && r.AllowedIn(s.region) && !v.isZoneOut(s.AvailabilityZone) &&
 			!now.Before(s.coldUntil) && !now.Before(s.avoidUntil) && !slices.Contains(avoid, s.Number) &&
 			s.running < (s.Slots+1)/2
-		if !usable {
+		if !allowed {
 			continue
 		}
 		cost := float64(s.running) + rand.Float64()
@@ -44,14 +155,10 @@
 		default:
 			cost += otherRegionCost
 		}
-		if best == nil || cost < lowest {
-			best, lowest = s, cost
-		}
-	}
-	if best != nil {
-		best.running++
+		usable, costs[s] = append(usable, s), cost
 	}
-	return best
+	slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(costs[a], costs[b]) })
+	return usable[:min(len(usable), maxCandidates)]
 }
 
 // startRequest counts a request that starts on a server.
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -146,7 +146,7 @@
 	defer cancel()
 	sentAt := time.Since(c.started)
 	sample := broker.Sample{Server: s.Number, ColdMillis: -1, Running: -1}
-	res, err := c.requestHealth(ctx, s)
+	res, err := c.requestHealth(ctx, c.exchanger, s)
 	sample.Healthy = res.status == http.StatusOK
 	sample.WrongServer = res.status == http.StatusMisdirectedRequest || (res.report.ServerID != "" && res.report.ServerID != s.ID)
 	sample.Pace = res.report.Pace
@@ -165,7 +165,7 @@
 func (c *checker) readPace(ctx context.Context, s *server) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, paceCheckTimeout)
 	defer cancel()
-	res, err := c.requestHealth(ctx, s)
+	res, err := c.requestHealth(ctx, c.exchanger, s)
 	return res.report.Pace, err
 }
 
@@ -176,14 +176,15 @@
 	report backend.Report
 }
 
-// requestHealth sends a health check to a server. A server that refuses the
+// requestHealth sends a health check to a server over a connection of the exchanger. A
+// server that refuses the
 // request yields both a response and an error.
-func (c *checker) requestHealth(ctx context.Context, s *server) (checkResponse, error) {
+func (c *checker) requestHealth(ctx context.Context, x *backend.Exchanger, s *server) (checkResponse, error) {
 	path := "/health"
 	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
 		path = index.Service(s.Service).HealthPath
 	}
-	httpResponse, err := c.exchanger.Exchange(ctx, s.endpoint, &backend.Attempt{ //nolint:bodyclose // discardBody closes it
+	httpResponse, err := x.Exchange(ctx, s.endpoint, &backend.Attempt{ //nolint:bodyclose // discardBody closes it
 		Method: http.MethodGet, Target: path, Host: s.Address, Header: http.Header{},
 		ExpectServer: s.ID, Deadline: time.Now().Add(checkTimeout),
 	})
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -185,7 +185,7 @@
 	case g.pauses.viewOutdated():
 		return nil, nil, errors.Wrap(err, "the process was paused and has not heard of the broker since")
 	}
-	s := g.view.chooseWithoutBroker(k.service, k.route, g.options.Settings.Host.AvailabilityZone, avoid, now)
+	s := g.alone.choose(ctx, k.service, k.route, avoid)
 	if s == nil {
 		return nil, nil, err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,8 @@
 	// pacer keeps bodies from filling the host's link.
 	pacer     *linkPacer
 	readiness *serving.Readiness
+	// alone chooses servers while there is no broker.
+	alone *aloneChooser
 	// pauses detects that the process was paused.
 	pauses *pauseDetector
 	log    zerolog.Logger
@@ -126,6 +128,13 @@
 	g.session = newSession(o.Settings, g.view, o.Log)
 	g.pauses = newPauseDetector(boottime.Now, g.handlePause)
 	g.checker = newChecker(g.view, o.Dialect, o.Settings.Bounds.HealthChecksPerSecond, g.session.reportSamples)
+	g.alone = &aloneChooser{
+		view: g.view, zone: o.Settings.Host.AvailabilityZone,
+		// The request that follows reuses the connection.
+		readLoad: func(ctx context.Context, s *server) (checkResponse, error) {
+			return g.checker.requestHealth(ctx, g.exchanger, s)
+		},
+	}
 	g.session.assignChecks = g.checker.assign
 	g.session.onView = g.pauses.viewRenewed
 	g.session.onStateChange = g.updateReadiness
