Pace no short bodies, and long ones in parts of 4 KB

Cause: bodies that come in were paced from the first byte, so that a short order waited behind the parts of all uploads; a long body that goes out was charged for at most one burst for each part, whatever the size of the part.

Change: bodies under 16 KB are not paced, and the parts are limited to 4 KB.

Measured: TestBodiesShareTheLink covers both directions.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -130,6 +130,7 @@
 	}
 	p = p[:min(len(p), limit)]
 	if b.pace != nil {
+		p = p[:min(len(p), timedBufferBytes)]
 		b.pace(len(p))
 	}
 	n, err := b.unread.Read(p)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -99,7 +99,7 @@
 		return nil
 	}
 	limits := requestBodyLimits(budget, limit)
-	body, err := budget.Read(pacer.incoming(r.Context(), r.Body), r.ContentLength, limits)
+	body, err := budget.Read(pacer.incoming(r.Context(), r.Body, r.ContentLength), r.ContentLength, limits)
 	switch {
 	case err == nil:
 		k.body = body
--- a/gateway/pacing.go
+++ b/gateway/pacing.go
@@ -18,8 +18,8 @@
 	// pacedPartBytes is the size of the parts in which bodies are paced, in bytes.
 	// It bounds how long the link is busy with one part.
 	pacedPartBytes = 4 << 10
-	// minPacedBytes is the size from which a body is paced, in bytes. Shorter ones
-	// are only counted.
+	// minPacedBytes is the size from which a body is paced, in bytes. Shorter ones are
+	// not delayed by the long ones.
 	minPacedBytes = 16 << 10
 	// pacingBurst is how much unused bandwidth a body may catch up on.
 	pacingBurst = 20 * time.Millisecond
@@ -67,9 +67,10 @@
 }
 
 // incoming returns a reader that reads a body no faster than its share of the link
-// allows. The sender then finds the receive buffer full and stops.
-func (p *linkPacer) incoming(ctx context.Context, body io.Reader) io.Reader {
-	if p == nil {
+// allows. The sender then finds the receive buffer full and stops. declared is the
+// length of the body, or negative if its sender declares none.
+func (p *linkPacer) incoming(ctx context.Context, body io.Reader, declared int64) io.Reader {
+	if p == nil || declared >= 0 && declared < minPacedBytes {
 		return body
 	}
 	return &pacedReader{ctx: ctx, in: body, limiter: p.in}
--- a/gateway/pacing_test.go
+++ b/gateway/pacing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,7 +85,7 @@
 	done := make(chan struct{}, uploads)
 	for range uploads {
 		go func() {
-			_, _ = io.Copy(io.Discard, pacer.incoming(context.Background(), link.send(packets, windowBytes)))
+			_, _ = io.Copy(io.Discard, pacer.incoming(context.Background(), link.send(packets, windowBytes), packets*packetBytes))
 			done <- struct{}{}
 		}()
 	}
@@ -135,6 +136,10 @@
 		if p.outgoing(t.Context(), minPacedBytes-1) != nil {
 			t.Error("a short body is paced")
 		}
+		short := strings.NewReader("short")
+		if p.incoming(t.Context(), short, short.Size()) != io.Reader(short) {
+			t.Error("a short body that comes in is paced")
+		}
 		begun := time.Now()
 		done := make(chan struct{}, 2)
 		for range 2 {
