Test that a server that left stays out after all control hosts restart

Cause: operators of similar systems saw servers that had left in use again after a restart. Here the records file of each control host names the server until it is saved again.

Change: TestLeaverStaysOutAfterRestarts restarts five hosts on records from before the deregistration. The wait of an upload test for its body ends after 30 s with the response that the caller got: it never ended if the entry could not connect.

Measured: no fault found; the deregistration in the log wins over the records.

--- a/caller/upload_test.go
+++ b/caller/upload_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"testing"
+	"time"
 
 	"tanagerbarrow/request"
 	"tanagerbarrow/verdict"
@@ -131,7 +132,7 @@
 	if c.unsent {
 		return
 	}
-	u := <-seen
+	u := awaitUpload(t, seen, conn)
 	if whole := !u.truncated && u.bytes == int64(c.size) && u.sum == sha256.Sum256(body); whole != c.complete {
 		t.Errorf("the backend server received %d bytes, truncated %v; want complete %v", u.bytes, u.truncated, c.complete)
 	}
@@ -142,6 +143,24 @@
 	_ = res.Body.Close()
 }
 
+// uploadTimeout bounds the wait until the backend server has received a body.
+const uploadTimeout = 30 * time.Second
+
+// awaitUpload returns what the backend server received. If it receives nothing, as
+// when the entry can't connect to it, the test fails with the caller's response.
+func awaitUpload(t *testing.T, seen <-chan receivedBody, conn net.Conn) receivedBody {
+	t.Helper()
+	select {
+	case u := <-seen:
+		return u
+	case <-time.After(uploadTimeout):
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	response, _ := io.ReadAll(conn)
+	t.Fatalf("the backend server received no body; the caller's response: %.200q", response)
+	return receivedBody{}
+}
+
 // write writes the request with the first c.sent bytes of the body.
 func (c uploadCase) write(w io.Writer, body []byte) {
 	path := c.path
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -248,28 +248,7 @@
 	b := registry.BackendServer{
 		ID: "i-1", Started: 1000, Sequence: 1, Service: "s", Address: "127.0.0.1:1", AvailabilityZone: "z0", Slots: 2,
 	}
-	leader := func() *leader {
-		for _, r := range c.running {
-			if l := r.leading(); l != nil {
-				return l
-			}
-		}
-		return nil
-	}
-	knows := func() bool {
-		l := leader()
-		if l == nil {
-			return false
-		}
-		known := make(chan bool, 1)
-		l.post(func(time.Time) { known <- len(l.broker.Servers()) == 1 })
-		select {
-		case k := <-known:
-			return k
-		case <-l.done:
-			return false
-		}
-	}
+	knows := func() bool { return c.leaderKnows(1) }
 	c.eventually("the leader knows the server", func() bool {
 		b.Sequence++
 		_ = c.running[3].Announce(t.Context(), b)
@@ -280,7 +259,7 @@
 		defer cancel()
 		return c.running[4].Deregister(ctx, "i-1", 0) == nil
 	})
-	c.eventually("the leader removes the server", func() bool { return leader() != nil && !knows() })
+	c.eventually("the leader removes the server", func() bool { return c.leader() != nil && !knows() })
 	b.Sequence += 10
 	_ = c.running[3].Announce(t.Context(), b)
 	if knows() {
@@ -288,6 +267,95 @@
 	}
 }
 
+// leader returns the broker's leader, or nil.
+func (c *testCluster) leader() *leader {
+	for _, r := range c.running {
+		if l := r.leading(); l != nil {
+			return l
+		}
+	}
+	return nil
+}
+
+// leaderKnows reports whether there is a broker and it knows the given number of
+// servers.
+func (c *testCluster) leaderKnows(servers int) bool {
+	l := c.leader()
+	if l == nil {
+		return false
+	}
+	known := make(chan int, 1)
+	l.post(func(time.Time) { known <- len(l.broker.Servers()) })
+	select {
+	case n := <-known:
+		return n == servers
+	case <-l.done:
+		return false
+	}
+}
+
+// TestLeaverStaysOutAfterRestarts kills all hosts after a deregistration was
+// acknowledged and starts them again on their data, which holds the server's record.
+// Neither the record nor a late heartbeat of the same start may bring the server back;
+// a new start of it must.
+func TestLeaverStaysOutAfterRestarts(t *testing.T) {
+	c := newTestCluster(t)
+	for n := range 5 {
+		c.start(n, true)
+	}
+	c.declare(0, 1)
+	b := registry.BackendServer{
+		ID: "i-1", Started: 1000, Sequence: 1, Service: "s", Address: "127.0.0.1:1", AvailabilityZone: "z0", Slots: 2,
+	}
+	stays := b
+	stays.ID, stays.Address = "i-2", "127.0.0.1:2"
+	announce := func(s *registry.BackendServer) {
+		s.Sequence++
+		for _, r := range c.running {
+			_ = r.Announce(t.Context(), *s)
+		}
+	}
+	c.eventually("the leader knows both servers", func() bool {
+		announce(&b)
+		announce(&stays)
+		return c.leaderKnows(2)
+	})
+	c.eventually("the deregistration is acknowledged", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return c.running[4].Deregister(ctx, "i-1", 0) == nil
+	})
+	// The records are saved in the background; the file is written as it was before
+	// the deregistration.
+	for n := range 5 {
+		c.kill(n)
+		now := time.Now()
+		records := []registry.Record{{BackendServer: b, LastHeartbeat: now}, {BackendServer: stays, LastHeartbeat: now}}
+		path := filepath.Join(c.folders[n], recordsFile)
+		if err := newRecordStore(path, zerolog.Nop()).save(recordsToWire(records, now)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := range 5 {
+		c.start(n, false)
+	}
+	c.eventually("the leader knows the server that stays", func() bool {
+		announce(&stays)
+		return c.leaderKnows(1)
+	})
+	for range 20 {
+		announce(&b)
+		if c.leaderKnows(2) {
+			t.Fatal("a server that had left is in use again after restarts")
+		}
+	}
+	b.Started = 2000
+	c.eventually("a new start of the server is used", func() bool {
+		announce(&b)
+		return c.leaderKnows(2)
+	})
+}
+
 // TestRecordsAreKept saves records and loads them from a whole, a truncated and
 // a missing file.
 func TestRecordsAreKept(t *testing.T) {
