Give the tests of callers' requests 3 s for a connection

Cause: on a machine busy with 48 test processes a process may not run for 500 ms, and the dial to a server in the same process timed out; the upload tests then failed or waited for ever.

Change: the time for a connection can be set; these tests set 3 s. It stays 500 ms in processes.

Measured: the tests of the package pass; their longest case waits for a server that accepts nothing, 9 s in all instead of 5 s.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -58,8 +58,8 @@
 }
 
 // dial opens a connection that fails if its peer stops acknowledging data.
-func dial(ctx context.Context, to netip.AddrPort) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: setUserTimeout}
+func dial(ctx context.Context, to netip.AddrPort, timeout time.Duration) (*conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAlive: keepAlivePeriod, Control: setUserTimeout}
 	opened, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, err
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -21,7 +21,7 @@
 
 // The limits of connections to backend servers.
 const (
-	dialTimeout            = 500 * time.Millisecond
+	defaultDialTimeout     = 500 * time.Millisecond
 	keepAlivePeriod        = 2 * time.Second
 	userTimeout            = 4 * time.Second
 	idleTimeout            = 30 * time.Second
@@ -105,6 +105,10 @@
 // uses the dialect.
 func NewExchangerWithDialect(d Dialect) *Exchanger { return &Exchanger{pool: newPool(), dialect: d} }
 
+// SetDialTimeout bounds the time to open a connection, instead of 500 ms. It must be
+// called before the first exchange.
+func (x *Exchanger) SetDialTimeout(d time.Duration) { x.pool.dialTimeout = d }
+
 // Close closes the idle connections.
 func (x *Exchanger) Close() { x.pool.close() }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,6 +9,9 @@
 
 // pool keeps idle connections to backend servers.
 type pool struct {
+	// dialTimeout bounds the time to open a connection.
+	dialTimeout time.Duration
+
 	mu      sync.Mutex
 	servers map[netip.AddrPort]*idleConns
 	reaper  *time.Timer
@@ -19,7 +22,9 @@
 type idleConns struct{ conns []*conn }
 
 // newPool returns a pool without connections.
-func newPool() *pool { return &pool{servers: map[netip.AddrPort]*idleConns{}} }
+func newPool() *pool {
+	return &pool{dialTimeout: defaultDialTimeout, servers: map[netip.AddrPort]*idleConns{}}
+}
 
 // get returns an idle connection that delivered a complete response since the
 // given time, or opens a new one.
@@ -33,7 +38,7 @@
 		}
 		_ = c.Close()
 	}
-	return dial(ctx, to)
+	return dial(ctx, to, p.dialTimeout)
 }
 
 // take removes and returns the newest idle connection. It returns nil if there
--- a/caller/matrix_test.go
+++ b/caller/matrix_test.go
@@ -135,6 +135,9 @@
 	}
 	current := func() *state.Configuration { return config }
 	exchanger := backend.NewExchanger()
+	// On a busy machine a process may not run for longer than the usual timeout, and
+	// these tests need their connections.
+	exchanger.SetDialTimeout(3 * time.Second)
 	loads := balance.NewLoads(balance.Options{Self: "e", Live: func() []string { return []string{"e"} }}, time.Now())
 	o := &outcomeRecorder{began: make(chan struct{}, 1), ended: make(chan struct{}), Dispatcher: &dispatch.Dispatcher{
 		Exchanger: exchanger, Ledger: memoryLedger{ledger.NewMachine()}, Retries: limit.NewRetryBudget(),
