Choose no server without a broker that reports itself cold or replaced

Cause: when all servers that were asked for their load had turned cold, or another server responded at their address, the entry chose the best of them all the same. Without a broker nothing limits what all entries together send to a cold server.

Change: such servers are left out; one that did not respond is tried before them, and the request is refused as not run if none is left.

Measured: two new cases of TestAloneChoiceWithoutIdleServer fail before.

--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -30,6 +30,14 @@
 	loadTimeout = 40 * time.Millisecond
 )
 
+// aloneChooser chooses servers while there is no broker.
+type aloneChooser struct {
+	view *view
+	zone string
+	// readLoad requests a server's load.
+	readLoad func(context.Context, *server) (checkResponse, error)
+}
+
 // choose chooses a backend server without a broker and counts the request on it. It
 // asks the cheapest servers for their load at the same time, because nothing else
 // tells which of them have a free slot and run at their usual pace: a blind choice
@@ -44,18 +52,12 @@
 	if len(candidates) > 1 {
 		best = a.leastLoaded(ctx, candidates)
 	}
-	a.view.startRequest(best)
+	if best != nil {
+		a.view.startRequest(best)
+	}
 	return best
 }
 
-// aloneChooser chooses servers while there is no broker.
-type aloneChooser struct {
-	view *view
-	zone string
-	// readLoad requests a server's load.
-	readLoad func(context.Context, *server) (checkResponse, error)
-}
-
 // loadReport is a candidate's response.
 type loadReport struct {
 	server *server
@@ -66,8 +68,8 @@
 }
 
 // leastLoaded returns the first candidate that reports a free slot and its usual pace.
-// If none does within loadTimeout, it returns the best of those that responded, else
-// the first candidate.
+// If none does within loadTimeout, it returns the best of the others, or nil if all have
+// turned cold or are gone.
 func (a *aloneChooser) leastLoaded(ctx context.Context, candidates []*server) *server {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	reports := make(chan loadReport, len(candidates))
@@ -83,32 +85,47 @@
 		requests.Wait()
 		cancel()
 	}()
-	best := loadReport{server: candidates[0], position: len(candidates), err: context.DeadlineExceeded}
+	received := make([]loadReport, len(candidates))
+	for at, s := range candidates {
+		received[at] = loadReport{server: s, position: at, err: context.DeadlineExceeded}
+	}
 	for range candidates {
 		select {
 		case r := <-reports:
 			if r.idle() {
 				return r.server
 			}
-			if r.betterThan(best) {
-				best = r
-			}
+			received[r.position] = r
 		case <-ctx.Done():
-			return best.server
+			return bestOf(received)
 		}
 	}
-	return best.server
+	return bestOf(received)
+}
+
+// bestOf returns the server of the best report, or nil if none may be used.
+func bestOf(reports []loadReport) *server {
+	reports = slices.DeleteFunc(reports, loadReport.excluded)
+	if len(reports) == 0 {
+		return nil
+	}
+	return slices.MinFunc(reports, compareLoads).server
 }
 
 // idle reports whether the server can run a request at its usual pace now.
 func (r loadReport) idle() bool {
-	return r.usable() && r.hasSlot() && r.response.report.Pace <= maxSteadyPace
+	return r.responded() && !r.excluded() && r.hasSlot() && r.response.report.Pace <= maxSteadyPace
 }
 
-// usable reports whether the expected server responded and is not cold.
-func (r loadReport) usable() bool {
-	id := r.response.report.ServerID
-	return r.err == nil && r.response.status == http.StatusOK && (id == "" || id == r.server.ID) && r.response.report.Cold <= 0
+// responded reports whether the server responded as a healthy one.
+func (r loadReport) responded() bool { return r.err == nil && r.response.status == http.StatusOK }
+
+// excluded reports whether another server responded, or the server is cold: without a
+// broker nothing limits what all entries together send to it.
+func (r loadReport) excluded() bool {
+	report := r.response.report
+	other := report.ServerID != "" && report.ServerID != r.server.ID
+	return r.responded() && (other || report.Cold > 0) || r.response.status == http.StatusMisdirectedRequest
 }
 
 // hasSlot reports whether the server has a free slot, or reports no load.
@@ -117,17 +134,24 @@
 	return report.Slots == 0 || report.Running+report.Waiting < report.Slots
 }
 
-// betterThan orders the reports by usability, free slots, pace and cost.
-func (r loadReport) betterThan(other loadReport) bool {
+// compareLoads orders the reports by response, free slots, pace and cost, the best
+// first.
+func compareLoads(a, b loadReport) int {
+	return cmp.Or(
+		trueFirst(a.responded(), b.responded()), trueFirst(a.hasSlot(), b.hasSlot()),
+		cmp.Compare(a.response.report.Pace, b.response.report.Pace), cmp.Compare(a.position, b.position),
+	)
+}
+
+// trueFirst orders true before false.
+func trueFirst(a, b bool) int {
 	switch {
-	case r.usable() != other.usable():
-		return r.usable()
-	case r.hasSlot() != other.hasSlot():
-		return r.hasSlot()
-	case r.response.report.Pace != other.response.report.Pace:
-		return r.response.report.Pace < other.response.report.Pace
+	case a == b:
+		return 0
+	case a:
+		return -1
 	default:
-		return r.position < other.position
+		return 1
 	}
 }
 
--- a/gateway/alone_test.go
+++ b/gateway/alone_test.go
@@ -87,13 +87,19 @@
 		"one that responds":            {[]loadOf{{}, {running: 2, slots: 2, pace: 500}, {}}, map[uint32]bool{2: true}},
 		"none responds":                {[]loadOf{{}, {}, {}}, map[uint32]bool{1: true, 2: true, 3: true}},
 		"only one":                     {[]loadOf{{}}, map[uint32]bool{1: true}},
+		"a silent one before cold ones": {[]loadOf{
+			{slots: 2, pace: 100, cold: time.Second}, {}, {slots: 2, pace: 100, cold: time.Second},
+		}, map[uint32]bool{2: true}},
+		"all cold or replaced": {[]loadOf{
+			{slots: 2, pace: 100, cold: time.Second}, {slots: 2, pace: 100, id: "i-x"}, {slots: 2, pace: 100, cold: time.Second},
+		}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				chooser := newAloneChooser(c.loads)
 				begun := time.Now()
 				s := chooser.choose(t.Context(), "s", &route.Route{}, nil)
-				if s == nil || !c.want[s.Number] {
+				if (s == nil) != (c.want == nil) || s != nil && !c.want[s.Number] {
 					t.Errorf("chose %+v", s)
 				}
 				if took := time.Since(begun); took > loadTimeout {
