--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -48,6 +48,8 @@
 	}
 	port := uint16(listener.Addr().(*net.TCPAddr).Port)
 	_ = listener.Close()
+	// The first call sets when the folders are removed: after the hosts have stopped.
+	t.TempDir()
 	c := &testCluster{t: t, port: port, running: map[int]*runningHost{}, folders: map[int]string{}}
 	for n := range 3 {
 		c.seeds = append(c.seeds, netip.AddrPortFrom(hostAddress(n), port+1))
