--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -101,6 +101,8 @@
 	r.node.Kill()
 	r.stop()
 	<-r.done
+	// The records may still be written.
+	r.goroutines.Wait()
 }
 
 // eventually waits until a condition is true and fails the test after
