--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,9 @@
 capacity: ## Prints how the cost of each role grows with size.
 	go run ./bench/cmd/capacity
 
+.PHONY: regression
+regression: ## Plays quick scores on the users' bench; FLEETBENCH is its path, SITES the folder of the site files.
+	go run ./bench/cmd/regression --bench $(FLEETBENCH) --sites $(SITES)
+
 bin/gopls: ## Installs the language server that renames identifiers.
 	GOWORK=off GOBIN=$(CURDIR)/bin go install golang.org/x/tools/gopls@v0.23.0
