Report the request limits that servers name, in logs, metrics and to the broker

Cause: nothing in the logs told which servers name a request limit, in which responses, which entries know of it, and whether checks or requests exceed it. Change: entries decode the limit of each response, log when it is named, changed or withdrawn, with the requests and checks that they sent under it, count these, and tell the broker with the release or the sample. Nothing acts on it yet.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -45,6 +45,10 @@
 	// KeepAlive is how long the server keeps an idle connection open; 0 if not
 	// reported.
 	KeepAlive time.Duration
+	// Limited says that the response named a limit, and RequestLimit is that limit: the
+	// requests per second that the server takes from all callers together.
+	Limited      bool
+	RequestLimit float64
 }
 
 // RefusedError is the cause of an error with [CodeRefused].
--- a/broker/message.go
+++ b/broker/message.go
@@ -122,6 +122,9 @@
 	Pace int
 	// ResponseBytes is the size of the response's body.
 	ResponseBytes int
+	// Limit is what the response said about the server's request limit; nil if it
+	// named none and the entry knows of none.
+	Limit *LimitReport
 }
 
 // Cancel withdraws an ask, or the grant that was the reply to it.
@@ -154,6 +157,9 @@
 	// PaceValidMillis is how long the pace stays valid, in milliseconds; 0 if that
 	// is not known.
 	PaceValidMillis int
+	// Limit is what the response said about the server's request limit; nil if it
+	// named none and the entry knows of none.
+	Limit *LimitReport
 }
 
 // HeldGrant is a grant that an entry holds from another broker.
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -42,7 +42,10 @@
 	exchanger     *backend.Exchanger
 	dialect       backend.Dialect
 	reportSamples func([]broker.Sample)
-	started       time.Time
+	// recordLimit is called with what the response to a check says about the server's
+	// request limit.
+	recordLimit func(*server, *broker.LimitReport, broker.LimitSource, time.Time)
+	started     time.Time
 	// minInterval is the least time between two checks of one server that the
 	// deployment allows.
 	minInterval time.Duration
@@ -157,6 +160,8 @@
 		sample.ColdMillis = int(res.report.Cold.Milliseconds())
 		c.view.setCold(s, res.report.Cold, time.Now())
 	}
+	sample.Limit = c.view.limitReport(s, res.report, broker.LimitFromChecks, err == nil && sample.Healthy)
+	c.recordLimit(s, sample.Limit, broker.LimitFromChecks, time.Now())
 	c.finishCheck(t, sample, sentAt, time.Since(c.started))
 }
 
@@ -244,7 +249,7 @@
 // to be reported. A response of another server is always reported.
 func worthReporting(previous, current broker.Sample) bool {
 	change := current.Pace - previous.Pace
-	return previous.Healthy != current.Healthy || current.WrongServer ||
+	return current.Limit != nil || previous.Healthy != current.Healthy || current.WrongServer ||
 		change > minPaceChange || change < -minPaceChange ||
 		(previous.ColdMillis > 0) != (current.ColdMillis > 0)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -224,8 +224,10 @@
 	if errors.As(err, &refused) {
 		report = refused.Report
 	}
+	limit := g.view.limitReport(a.server, report, broker.LimitFromRequests, err == nil && res.status < http.StatusInternalServerError)
+	g.recordLimit(a.server, limit, broker.LimitFromRequests, time.Now())
 	k.countAttempt(err)
-	g.finishAttempt(ctx, k, a, report, res, err, time.Since(started))
+	g.finishAttempt(ctx, k, a, report, limit, res, err, time.Since(started))
 	return res, err
 }
 
@@ -290,7 +292,7 @@
 
 // finishAttempt records and logs the outcome of an attempt and, if the broker
 // granted it, releases the grant.
-func (g *Gateway) finishAttempt(ctx context.Context, k *callerRequest, a *attempt, report backend.Report, res response, err error, took time.Duration) {
+func (g *Gateway) finishAttempt(ctx context.Context, k *callerRequest, a *attempt, report backend.Report, limit *broker.LimitReport, res response, err error, took time.Duration) {
 	outcome := outcomeOf(ctx, res, err)
 	serverFailed := outcome != broker.Answered && outcome != broker.Abandoned && outcome != broker.Unused
 	g.view.finishRequest(a.server, serverFailed, time.Now())
@@ -298,7 +300,7 @@
 	if a.grantID == 0 {
 		return
 	}
-	r := broker.Release{ID: a.grantID, Outcome: outcome, ElapsedMillis: int(took.Milliseconds()), Pace: report.Pace, ResponseBytes: res.body.Len()}
+	r := broker.Release{ID: a.grantID, Outcome: outcome, ElapsedMillis: int(took.Milliseconds()), Pace: report.Pace, ResponseBytes: res.body.Len(), Limit: limit}
 	if outcome == broker.Answered {
 		r.KeepAliveMillis = int(report.KeepAlive.Milliseconds())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,7 @@
 	g.session = newSession(o.Settings, g.view, o.Log)
 	g.pauses = newPauseDetector(boottime.Now, g.handlePause)
 	g.checker = newChecker(g.view, o.Dialect, o.Settings.Bounds.HealthChecksPerSecond, g.session.reportSamples)
+	g.checker.recordLimit = g.recordLimit
 	g.alone = &aloneChooser{
 		view: g.view, zone: o.Settings.Host.AvailabilityZone,
 		// The request that follows reuses the connection.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 	expectHeader = "Test-Expect"
 	notRunHeader = "Test-Not-Run"
 	paceHeader   = "Pace"
+	limitHeader  = "Limit"
 )
 
 // testDialect returns a dialect with its own header names.
@@ -47,7 +48,8 @@
 		NotRun: func(r *http.Response) bool { return r.Header.Get(notRunHeader) != "" },
 		Report: func(h http.Header) backend.Report {
 			pace, _ := strconv.Atoi(h.Get(paceHeader))
-			return backend.Report{Cold: -1, KeepAlive: 9 * time.Second, Pace: pace}
+			limit, err := strconv.ParseFloat(h.Get(limitHeader), 64)
+			return backend.Report{Cold: -1, KeepAlive: 9 * time.Second, Pace: pace, Limited: err == nil, RequestLimit: limit}
 		},
 	}
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tanagerbarrow/broker"
 	"tanagerbarrow/declare"
 	"tanagerbarrow/membership"
 	"tanagerbarrow/protocol"
@@ -27,6 +28,10 @@
 	// avoidUntil is until when the entry itself chooses other servers, after a
 	// request of this entry failed on the server.
 	avoidUntil time.Time
+	// limit is the server's request limit, and limitedSends what this entry sent to the
+	// server under it.
+	limit        broker.RequestLimit
+	limitedSends limitedSends
 }
 
 // view is the state that the entry last received from the broker. It is safe for
@@ -159,6 +164,7 @@
 		}
 		if old := previous[s.Number]; old != nil && old.ID == s.ID {
 			next.running, next.avoidUntil = old.running, old.avoidUntil
+			next.limit, next.limitedSends = old.limit, old.limitedSends
 		}
 		v.servers[s.Number] = next
 	}
