Test that servers get no more requests than the limit that they name

Cause: the broker grants servers by slots, pace and cost; a limit that a server names changes nothing.

--- /dev/null
+++ b/broker/limit_test.go
@@ -0,0 +1,151 @@
+package broker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The bound of a server's request limit, as its owners state it: in limitWindow, one and
+// a half times what the limit allows and limitSlack more, from limitGrace after the server
+// first named it.
+const (
+	limitWindow = 4 * time.Second
+	limitGrace  = 3 * time.Second
+	limitSlack  = 5
+)
+
+// limitedLoad is a load on four servers, the first of which names a request limit in the
+// responses to requests. It is replayed in virtual time.
+type limitedLoad struct {
+	*testBroker
+	random *rand.Rand
+	// limit returns the limit that the first server names at a time; false for none.
+	limit func(time.Duration) (float64, bool)
+	// rate is the number of requests per second.
+	rate    float64
+	running []limitedRequest
+	// grants are the times at which the first server was granted to a request.
+	grants []time.Duration
+	served int
+}
+
+// limitedRequest is a request that runs on a server.
+type limitedRequest struct {
+	entry, server string
+	id            uint64
+	endsAt        time.Duration
+}
+
+// limitedServiceTime is how long each request runs, and limitedStep the resolution of
+// the replay.
+const (
+	limitedServiceTime = 50 * time.Millisecond
+	limitedStep        = 5 * time.Millisecond
+)
+
+// newLimitedLoad returns a load of 20 requests a second.
+func newLimitedLoad(t testing.TB, limit func(time.Duration) (float64, bool)) *limitedLoad {
+	l := &limitedLoad{testBroker: newTestBroker(t, "a", "a", "b", "b"), random: rand.New(rand.NewPCG(3, 4)), limit: limit, rate: 20}
+	for _, s := range l.servers {
+		s.silenceTimeout = time.Hour
+	}
+	return l
+}
+
+// run replays the load from one time to another.
+func (l *limitedLoad) run(from, to time.Duration) {
+	for at := from; at < to; at += limitedStep {
+		l.now = start.Add(at)
+		l.endRequests(at)
+		if l.random.Float64() < l.rate*limitedStep.Seconds() {
+			l.seq++
+			l.Ask(fmt.Sprint("e", 1+l.random.IntN(2)), Ask{Seq: l.seq, Service: "s", ObjectiveMillis: 400, DeadlineMillis: 4000}, l.now)
+		}
+		l.Tick(l.now)
+		for _, o := range l.TakeOutputs() {
+			if o.Grant == nil {
+				continue
+			}
+			id := o.Server.Record.ID
+			l.running = append(l.running, limitedRequest{o.Entry, id, o.Grant.ID, at + limitedServiceTime})
+			if id == "server0" {
+				l.grants = append(l.grants, at)
+			}
+		}
+	}
+}
+
+// endRequests releases the requests that have ended, with what the server names.
+func (l *limitedLoad) endRequests(at time.Duration) {
+	kept := l.running[:0]
+	for _, q := range l.running {
+		if q.endsAt > at {
+			kept = append(kept, q)
+			continue
+		}
+		r := Release{ID: q.id, Outcome: Answered, ElapsedMillis: int(limitedServiceTime.Milliseconds()), KeepAliveMillis: 9000}
+		if q.server == "server0" {
+			r.Limit = &LimitReport{Source: LimitFromRequests}
+			r.Limit.PerSecond, r.Limit.Named = l.limit(at)
+		}
+		l.served++
+		l.Release(q.entry, r, l.now)
+	}
+	l.running = kept
+}
+
+// checkLimit fails the test if the first server got more than its limit allows. The
+// highest limit of a window counts; a window without one allows anything.
+func (l *limitedLoad) checkLimit(namedFrom, to time.Duration) {
+	l.t.Helper()
+	for end := namedFrom + limitGrace; end <= to; end += 50 * time.Millisecond {
+		allowed, unlimited := 0.0, false
+		for at := end - limitWindow; at <= end; at += 50 * time.Millisecond {
+			perSecond, named := l.limit(max(at, namedFrom))
+			allowed, unlimited = max(allowed, perSecond), unlimited || !named
+		}
+		got := 0
+		for _, at := range l.grants {
+			if at > end-limitWindow && at <= end {
+				got++
+			}
+		}
+		if bound := 1.5*allowed*limitWindow.Seconds() + limitSlack; !unlimited && float64(got) > bound {
+			l.t.Fatalf("at %v the server got %d requests in %v, allowed are %v", end, got, limitWindow, bound)
+		}
+	}
+}
+
+// TestServersGetNoMoreThanTheirLimit replays a day on which one of several idle servers
+// names a limit below its share of the requests.
+func TestServersGetNoMoreThanTheirLimit(t *testing.T) {
+	const named, changed, length = 2 * time.Second, 10 * time.Second, 24 * time.Second
+	for name, limit := range map[string]func(time.Duration) float64{
+		"constant":   func(time.Duration) float64 { return 1 },
+		"fractional": func(time.Duration) float64 { return 0.3 },
+		"zero":       func(time.Duration) float64 { return 0 },
+		"lowered": func(at time.Duration) float64 {
+			if at < changed {
+				return 3
+			}
+			return 0.5
+		},
+		"raised": func(at time.Duration) float64 {
+			if at < changed {
+				return 0.5
+			}
+			return 3
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLimitedLoad(t, func(at time.Duration) (float64, bool) { return limit(at), at >= named })
+			l.run(0, length)
+			l.checkLimit(named, length)
+			if want := int(0.9 * 20 * length.Seconds() * 0.9); l.served < want {
+				t.Errorf("%d requests were served, want at least %d", l.served, want)
+			}
+		})
+	}
+}
