Keep to the request limits that servers name

Servers in need saw more requests than they take: one that named 1 a second got 12 in 4 s. Cause: a limit that a response names was passed on to the caller and read by nobody. The broker, entries without a broker, health checks and load and pace queries all sent to such a server as to any other. Change: the broker keeps a token bucket for each server that names a limit, which begins empty and leaves a quarter of the limit to health checks. A server counts for the expected wait only as far as its limit lets it. Entries report limits when they subscribe, so that a new broker has them before it grants; the broker tells entries the limits and the number of entries, so that those without a broker keep to equal shares. Checks of such servers are rare, and load and pace queries spare them. Why it works: every request with a grant takes a token of one bucket; the other ways have a share that is fixed by the limit.

--- a/bench/soak/server_test.go
+++ b/bench/soak/server_test.go
@@ -64,7 +64,9 @@
 	// Unix nanoseconds; 0 before that.
 	leaveAckedAt atomic.Int64
 	fault        atomic.Int32
-	ended        chan struct{}
+	// limit is the request limit that the server names.
+	limit requestLimit
+	ended chan struct{}
 }
 
 // Faults that a proxy injects.
@@ -112,6 +114,9 @@
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	if limit := s.limit.arrive(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -84,7 +84,7 @@
 		callers.Go(func() { h.sendRequests(n, stop) })
 	}
 	end := time.Now().Add(*runLength)
-	for _, inject := range []func(*harness, []*server, time.Time){injectEntryFaults, injectControlFaults, injectProxyFaults, changeSystem} {
+	for _, inject := range []func(*harness, []*server, time.Time){injectEntryFaults, injectControlFaults, injectProxyFaults, changeSystem, nameLimits} {
 		injectors.Go(func() { inject(h, servers, end) })
 	}
 	injectors.Wait()
@@ -223,6 +223,7 @@
 		h.fail("only %d of %d requests were served", served, len(h.requests))
 	}
 	for _, s := range servers {
+		s.limit.check(h, s.id)
 		_ = s.proxyListener.Close()
 		_ = s.serverListener.Close()
 	}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -49,6 +49,8 @@
 	entries       map[string]*entry
 	grants        map[uint64]*grant
 	crashSuspects map[uint64]*crashSuspect
+	// adoptedLimits holds, by server identifier, the limits of servers without a record.
+	adoptedLimits map[string]adoptedLimit
 
 	lastServerNumber uint32
 	lastGrantID      uint64
@@ -93,7 +95,8 @@
 		options: o, zonesOut: map[string]bool{}, pools: map[string]*pool{},
 		servers: map[uint32]*Server{}, byID: map[string]*Server{}, entries: map[string]*entry{},
 		grants: map[uint64]*grant{}, crashSuspects: map[uint64]*crashSuspect{}, lastGrantID: o.GrantIDBase,
-		index: route.NewIndex(&route.Configuration{}),
+		adoptedLimits: map[string]adoptedLimit{},
+		index:         route.NewIndex(&route.Configuration{}),
 	}
 }
 
@@ -146,6 +149,7 @@
 	b.lastServerNumber++
 	s = newServer(b.lastServerNumber, r, b.options.Regions[r.AvailabilityZone], b.options.SilenceTimeout)
 	b.servers[s.Number], b.byID[r.ID] = s, s
+	b.applyAdoptedLimit(s, now)
 	p := b.pool(r.Service)
 	p.servers = append(p.servers, s)
 	b.serveQueue(r.Service, now)
@@ -264,6 +268,7 @@
 		p.grantedRetries.count(now, b.options.RetryWindow)
 	}
 	b.expireCrashSuspects(now)
+	b.expireAdoptedLimits(now)
 	b.serveQueues(now)
 }
 
--- a/broker/learn.go
+++ b/broker/learn.go
@@ -43,6 +43,7 @@
 	if s.paceChangesAt.IsZero() {
 		b.recordPace(s, r.Pace, now)
 	}
+	s.observeLimit(r.Limit, now)
 	b.recordOutcome(g, r, now)
 	if r.KeepAliveMillis > 0 {
 		idle := g.entry.idleConnections[s.Number]
@@ -148,6 +149,7 @@
 		b.remove(s)
 		return
 	}
+	s.observeLimit(m.Limit, now)
 	b.recordPace(s, m.Pace, now)
 	s.recordRunning(m.Running, now)
 	s.sampledAt = now
--- a/broker/limit_test.go
+++ b/broker/limit_test.go
@@ -149,3 +149,104 @@
 		})
 	}
 }
+
+// TestWithdrawnLimitEnds checks that a server gets its share again after its limit, also
+// a limit of zero, has ended, and that checks that never name a limit don't end it.
+func TestWithdrawnLimitEnds(t *testing.T) {
+	const named, ended, length = 2 * time.Second, 8 * time.Second, 30 * time.Second
+	for _, perSecond := range []float64{0, 1} {
+		l := newLimitedLoad(t, func(at time.Duration) (float64, bool) { return perSecond, at >= named && at < ended })
+		for at := time.Duration(0); at < length; at += time.Second {
+			l.run(at, at+time.Second)
+			l.Sample(Sample{Server: l.byID["server0"].Number, Healthy: true, Running: -1, ColdMillis: -1}, l.now)
+		}
+		l.checkLimit(named, ended)
+		after := 0
+		for _, at := range l.grants {
+			if at > length-4*time.Second {
+				after++
+			}
+		}
+		if after < 8 {
+			t.Errorf("with a limit of %v that has ended: %d requests in the last 4 s", perSecond, after)
+		}
+	}
+}
+
+// TestNewBrokerKeepsLimits replaces the broker every 2.5 s. Entries report the limits that
+// they know, before or after the new broker has the record of the server.
+func TestNewBrokerKeepsLimits(t *testing.T) {
+	const length = 20 * time.Second
+	for _, recordFirst := range []bool{true, false} {
+		l := newLimitedLoad(t, func(time.Duration) (float64, bool) { return 1, true })
+		known := []ServerLimit{{ServerID: "server0", Limit: RequestLimit{PerSecond: 1, Sources: LimitFromRequests}}}
+		for at := time.Duration(0); at < length; at += 2500 * time.Millisecond {
+			now := l.now
+			l.testBroker = newTestBroker(t)
+			l.now, l.running = now, nil
+			if !recordFirst {
+				l.AdoptLimits(known, l.now)
+			}
+			for n, zone := range []string{"a", "a", "b", "b"} {
+				l.announce(fmt.Sprint("server", n), zone, 0).silenceTimeout = time.Hour
+			}
+			l.AdoptLimits(known, l.now)
+			l.run(at, at+2500*time.Millisecond)
+		}
+		l.checkLimit(0, length)
+	}
+}
+
+// TestLimitEndsWithItsServer checks that a server that takes the place of one with a
+// limit has none, and that what responses said is not replaced by what entries knew.
+func TestLimitEndsWithItsServer(t *testing.T) {
+	w := newTestBroker(t, "a")
+	s := w.byID["server0"]
+	s.observeLimit(&LimitReport{Source: LimitFromRequests, Named: true, PerSecond: 2}, w.now)
+	w.AdoptLimits([]ServerLimit{{ServerID: "server0", Limit: RequestLimit{PerSecond: 9, Sources: LimitFromChecks}}}, w.now)
+	if got := s.Limit(); got.PerSecond != 2 {
+		t.Errorf("the limit is %+v, the server named 2 a second", got)
+	}
+	r := s.Record
+	r.Started++
+	if next := w.Announce(r, w.now); next.Limit().Limited() {
+		t.Errorf("the new server has the limit %+v", next.Limit())
+	}
+}
+
+// TestLimitLeavesRoomForChecks checks that requests use the part of a limit that health
+// checks leave, and no more.
+func TestLimitLeavesRoomForChecks(t *testing.T) {
+	l := newLimitedLoad(t, func(time.Duration) (float64, bool) { return 2, true })
+	l.rate = 140
+	l.run(0, 20*time.Second)
+	if got, want := len(l.grants), int(2*20*(1-LimitCheckShare)); got < want-6 || got > want+2 {
+		t.Errorf("%d requests in 20 s at 2 a second, want about %d", got, want)
+	}
+}
+
+// TestLimitedServiceRefusesAtOnce checks that asks beyond the limits of all servers are
+// refused without a wait, and that the others are served.
+func TestLimitedServiceRefusesAtOnce(t *testing.T) {
+	w := newTestBroker(t, "a")
+	w.byID["server0"].silenceTimeout = time.Hour
+	w.byID["server0"].observeLimit(&LimitReport{Source: LimitFromRequests, Named: true, PerSecond: 0.5}, w.now)
+	granted, refused, waiting := 0, 0, 0
+	for range 400 {
+		w.now = w.now.Add(50 * time.Millisecond)
+		switch o := w.ask("e1", nil); {
+		case o.Grant != nil:
+			granted++
+			w.Release("e1", Release{ID: o.Grant.ID, Outcome: Answered, ElapsedMillis: 20}, w.now)
+		case o.Refusal != nil:
+			refused++
+		default:
+			waiting++
+		}
+		w.Tick(w.now)
+		w.TakeOutputs()
+	}
+	if granted < 6 || granted > 10 || waiting > 20 {
+		t.Errorf("%d granted, %d refused at once, %d made to wait; the limit allows 10, checks included", granted, refused, waiting)
+	}
+}
--- a/broker/place.go
+++ b/broker/place.go
@@ -80,11 +80,12 @@
 	return true
 }
 
-// serversWithFreeSlot returns the usable servers that have a free slot.
+// serversWithFreeSlot returns the usable servers that have a free slot and whose limit
+// allows a request.
 func (b *Broker) serversWithFreeSlot(p *pool, now time.Time) []*Server {
 	var free []*Server
 	for _, s := range p.servers {
-		if s.occupiedSlots(now) < s.Record.Slots && s.usable(now) {
+		if s.occupiedSlots(now) < s.Record.Slots && s.usable(now) && s.limitAllows(now) {
 			free = append(free, s)
 		}
 	}
@@ -96,7 +97,7 @@
 func (b *Broker) serversAtUsualPace(p *pool, free []*Server, now time.Time) []*Server {
 	var usual []*Server
 	for _, s := range free {
-		if s.pace == 0 || p.paceFactor(s, now, now) <= maxUsualPaceFactor {
+		if !s.paceKnown(now) || p.paceFactor(s, now, now) <= maxUsualPaceFactor {
 			usual = append(usual, s)
 		}
 	}
@@ -115,7 +116,7 @@
 	if b.shouldWaitForRegion(p, s, w, now) {
 		return true
 	}
-	if s.pace == 0 || millis(w.ask.SendMillis) >= paceLifetime {
+	if !s.paceKnown(now) || millis(w.ask.SendMillis) >= paceLifetime {
 		// The pace is unknown, or no pace lasts until the body has arrived.
 		return false
 	}
@@ -145,10 +146,10 @@
 	})
 }
 
-// canRunNow reports whether a server may run a request and has a free slot for
-// it.
+// canRunNow reports whether a server may run a request, has a free slot for it, and
+// its limits allow it.
 func (b *Broker) canRunNow(s *Server, w *pendingAsk, now time.Time) bool {
-	if !b.eligible(s, w, now) || s.occupiedSlots(now) >= s.Record.Slots {
+	if !b.eligible(s, w, now) || s.occupiedSlots(now) >= s.Record.Slots || !s.limitAllows(now) {
 		return false
 	}
 	return !s.cold(now) || b.coldRateAllows(s, now)
@@ -270,6 +271,7 @@
 	w.entry.grantIDs[g.seq] = g.id
 	s.activeGrants++
 	s.everGranted = true
+	s.countRequest(now)
 	if s.cold(now) {
 		s.coldGrantTimes = append(s.coldGrantTimes, now)
 	}
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -32,6 +32,9 @@
 	// stay in use: within that time it reconnects, or its requests have ended with
 	// it.
 	disconnectedGrantLifetime = 1500 * time.Millisecond
+	// maxExpectedDelay bounds the expected time until an ask is assigned; servers with a
+	// request limit of zero would make it infinite.
+	maxExpectedDelay = 10 * time.Second
 	// retryBudgetShare is the part of the retry budget that the broker hands out.
 	// The rest keeps requests that are in transit from exceeding the budget.
 	retryBudgetShare = 0.7
@@ -88,15 +91,20 @@
 }
 
 // slotUsage returns the number of slots of the usable servers that are not cold
-// and whose zone is in service, and how many of these slots are in use.
-func (p *pool) slotUsage(b *Broker, now time.Time) (all, busy int) {
+// and whose zone is in service, how many of these slots are in use, and how many
+// requests these servers can run at a time.
+func (p *pool) slotUsage(b *Broker, now time.Time) (all, busy int, capacity float64) {
 	for _, s := range p.servers {
 		if s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && !s.cold(now) {
 			all += s.Record.Slots
 			busy += s.activeGrants
+			capacity += s.capacity(p.serviceTime)
 		}
 	}
-	return all, busy
+	if all == 0 {
+		capacity = 1
+	}
+	return all, busy, capacity
 }
 
 // Ask processes an ask: it is granted at once, refused at once or queued.
@@ -170,7 +178,7 @@
 	if now.Before(b.options.ServersKnownFrom) {
 		return ReasonOverload, len(p.queue) >= maxQueueLength
 	}
-	all, _ := p.slotUsage(b, now)
+	all, _, capacity := p.slotUsage(b, now)
 	if all == 0 && !b.anyEligible(p, w, now) {
 		return ReasonNoServer, true
 	}
@@ -180,13 +188,14 @@
 			ahead++
 		}
 	}
-	return ReasonOverload, len(p.queue) >= maxQueueLength || p.expectedDelay(all, ahead) > w.waitUntil.Sub(now)
+	return ReasonOverload, len(p.queue) >= maxQueueLength || p.expectedDelay(capacity, ahead) > w.waitUntil.Sub(now)
 }
 
-// expectedDelay is the expected time until the given number of asks has been
-// assigned to the given number of slots.
-func (p *pool) expectedDelay(slots, ahead int) time.Duration {
-	return p.serviceTime * time.Duration(ahead) / time.Duration(max(1, slots))
+// expectedDelay is the expected time, at most maxExpectedDelay, until the given number
+// of asks has been assigned to servers that can run the given number at a time.
+func (p *pool) expectedDelay(capacity float64, ahead int) time.Duration {
+	delay := p.serviceTime.Seconds() * float64(ahead) / capacity
+	return time.Duration(min(delay, maxExpectedDelay.Seconds()) * float64(time.Second))
 }
 
 // retryBudgetAllows reports whether the service's retry budget allows one more
@@ -266,8 +275,8 @@
 // free. That time has a random part, so that the callers don't return all at
 // once.
 func (b *Broker) refuse(p *pool, e *entry, seq uint64, reason Reason, now time.Time) {
-	all, busy := p.slotUsage(b, now)
-	wait := p.expectedDelay(all, len(p.queue)+1)
+	all, busy, capacity := p.slotUsage(b, now)
+	wait := p.expectedDelay(capacity, len(p.queue)+1)
 	if all == 0 {
 		wait = p.serviceTime
 	}
--- a/broker/server.go
+++ b/broker/server.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"tanagerbarrow/registry"
 )
 
@@ -95,6 +97,13 @@
 	crashSuspects []*crashSuspect
 	// everGranted says that the server has been granted to a request before.
 	everGranted bool
+	// limit is the request limit that the server names, and limiter allows its requests
+	// accordingly; nil without a limit. limitObserved says that a response has told of
+	// the limit in this broker's term, and limitChanged that the entries don't know of
+	// its last change.
+	limit                       RequestLimit
+	limiter                     *rate.Limiter
+	limitObserved, limitChanged bool
 	// silenceTimeout is the time without a heartbeat or a response after which the
 	// server is considered dead.
 	silenceTimeout time.Duration
@@ -142,6 +151,12 @@
 	}
 }
 
+// paceKnown reports whether the server's pace was reported and is still meaningful.
+// Servers with a request limit are checked too rarely for it to stay so.
+func (s *Server) paceKnown(now time.Time) bool {
+	return s.pace != 0 && (!s.limit.Limited() || s.isSampled(now))
+}
+
 // isSampled reports whether an entry currently samples the server.
 func (s *Server) isSampled(now time.Time) bool { return now.Sub(s.sampledAt) < sampledPaceLifetime }
 
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -84,6 +84,8 @@
 	// entry checks.
 	assignedChecks      map[string][]uint32
 	checksDistributedAt time.Time
+	// sentEntryCount is the number of connected entries that all sessions know.
+	sentEntryCount int
 	// sessionsAdded is whether sessions were added since the last distribution.
 	sessionsAdded bool
 }
@@ -171,6 +173,7 @@
 	if now.Sub(l.checksDistributedAt) >= period {
 		l.checksDistributedAt, l.sessionsAdded = now, false
 		l.distributeChecks()
+		l.sendLimits(now)
 	}
 }
 
@@ -224,6 +227,7 @@
 func (l *leader) subscribe(in *inboundLink, s protocol.Subscribe, now time.Time) {
 	name := in.hello.Name
 	l.sessions[name] = in
+	l.broker.AdoptLimits(s.Limits, now)
 	l.broker.Connect(name, in.hello.AvailabilityZone, s.Held, now)
 	l.log.Info().Str("event", "entry_connected").Str("entry", name).Int("held", len(s.Held)).
 		Uint64("config_version", s.Version).Send()
@@ -253,11 +257,15 @@
 // serverToWire encodes a server for entries.
 func serverToWire(s *broker.Server, now time.Time) protocol.Server {
 	r := s.Record
-	return protocol.Server{
+	server := protocol.Server{
 		Number: s.Number, ID: r.ID, Service: r.Service, Address: r.Address,
 		AvailabilityZone: r.AvailabilityZone, Slots: r.Slots,
 		ColdMillis: int(max(0, r.ColdUntil.Sub(now).Milliseconds())),
 	}
+	if limit := s.Limit(); limit.Limited() {
+		server.Limit = &limit
+	}
+	return server
 }
 
 // zonesOut returns the availability zones that get no new work, in sorted order.
--- a/coordinator/views.go
+++ b/coordinator/views.go
@@ -78,19 +78,35 @@
 }
 
 // sendChanges sends each entry the part of a change that concerns it. A change
-// of the zones concerns all entries.
-func (l *leader) sendChanges(servers []*broker.Server, gone []uint32, zones bool, now time.Time) {
+// of the zones or of the number of entries concerns all entries.
+func (l *leader) sendChanges(servers []*broker.Server, gone []uint32, toAll bool, now time.Time) {
 	out := l.zonesOut()
 	for name, in := range l.sessions {
 		view := l.views[name].update(servers, gone, now)
-		if !zones && len(view.Servers) == 0 && len(view.Removed) == 0 {
+		if !toAll && len(view.Servers) == 0 && len(view.Removed) == 0 {
 			continue
 		}
-		view.ZonesOut = out
+		view.ZonesOut, view.Entries = out, len(l.sessions)
 		_ = in.conn.Send(protocol.KindView, view)
 	}
 }
 
+// sendLimits sends the entries the request limits that have changed. An entry without a
+// broker keeps to its part of a limit, so it also needs to know how many entries there are.
+func (l *leader) sendLimits(now time.Time) {
+	changed := l.broker.TakeLimitChanges()
+	for _, s := range changed {
+		limit := s.Limit()
+		l.log.Info().Str("event", "server_limit").Str("server", s.Record.ID).Str("service", s.Record.Service).
+			Bool("limited", limit.Limited()).Float64("per_second", limit.PerSecond).Send()
+	}
+	countChanged := l.sentEntryCount != len(l.sessions)
+	if len(changed) > 0 || countChanged {
+		l.sentEntryCount = len(l.sessions)
+		l.sendChanges(changed, nil, countChanged, now)
+	}
+}
+
 // sendFullView sends its whole view to an entry that has just subscribed.
 func (l *leader) sendFullView(name string, in *inboundLink, now time.Time) {
 	s := newEntryView(l.c.options.Settings.Regions[in.hello.AvailabilityZone])
@@ -100,7 +116,7 @@
 		servers = append(servers, server)
 	}
 	view := s.update(servers, nil, now)
-	view.Full, view.ZonesOut = true, l.zonesOut()
+	view.Full, view.ZonesOut, view.Entries = true, l.zonesOut(), len(l.sessions)
 	_ = in.conn.Send(protocol.KindView, view)
 }
 
@@ -112,6 +128,6 @@
 	}
 	s.add(server)
 	_ = in.conn.Send(protocol.KindView, protocol.View{
-		Servers: []protocol.Server{serverToWire(server, now)}, ZonesOut: l.zonesOut(),
+		Servers: []protocol.Server{serverToWire(server, now)}, ZonesOut: l.zonesOut(), Entries: len(l.sessions),
 	})
 }
--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -41,16 +41,19 @@
 // choose chooses a backend server without a broker and counts the request on it. It
 // asks the cheapest servers for their load at the same time, because nothing else
 // tells which of them have a free slot and run at their usual pace: a blind choice
-// meets a slow machine with every fourth request. It returns nil if no server may be
-// used.
+// meets a slow machine with every fourth request. Servers that name a request limit are
+// not asked, and are used only if there are no others. It returns nil if no server may
+// be used.
 func (a *aloneChooser) choose(ctx context.Context, service string, r *route.Route, avoid []uint32) *server {
-	candidates := a.view.candidatesWithoutBroker(service, r, a.zone, avoid, time.Now())
-	if len(candidates) == 0 {
-		return nil
-	}
-	best := candidates[0]
-	if len(candidates) > 1 {
-		best = a.leastLoaded(ctx, candidates)
+	unlimited, limited := a.view.candidatesWithoutBroker(service, r, a.zone, avoid, time.Now())
+	var best *server
+	switch len(unlimited) {
+	case 0:
+		best = a.view.takeLimitTurn(limited, time.Now(), rand.Float64())
+	case 1:
+		best = unlimited[0]
+	default:
+		best = a.leastLoaded(ctx, unlimited)
 	}
 	if best != nil {
 		a.view.startRequest(best)
@@ -124,12 +127,12 @@
 // responded reports whether the server responded as a healthy one.
 func (r loadReport) responded() bool { return r.err == nil && r.response.status == http.StatusOK }
 
-// excluded reports whether another server responded, or the server is cold: without a
-// broker nothing limits what all entries together send to it.
+// excluded reports whether another server responded, or the server is cold or names a
+// request limit: without a broker nothing counts what all entries together send to it.
 func (r loadReport) excluded() bool {
 	report := r.response.report
 	other := report.ServerID != "" && report.ServerID != r.server.ID
-	return r.responded() && (other || report.Cold > 0) || r.response.status == http.StatusMisdirectedRequest
+	return r.responded() && (other || report.Cold > 0 || report.Limited) || r.response.status == http.StatusMisdirectedRequest
 }
 
 // hasSlot reports whether the server has a free slot, or reports no load.
@@ -159,11 +162,11 @@
 	}
 }
 
-// candidatesWithoutBroker returns the cheapest backend servers that may be used
-// without a broker, the cheapest first, at most maxCandidates. They are warm, since
-// nothing counts what other entries send to cold ones, and at most half of their slots
-// are in use by this entry, since other entries use them too.
-func (v *view) candidatesWithoutBroker(service string, r *route.Route, zone string, avoid []uint32, now time.Time) []*server {
+// candidatesWithoutBroker returns the backend servers that may be used without a broker,
+// the cheapest first: at most maxCandidates that name no request limit, and all that name
+// one. They are warm, since nothing counts what other entries send to cold ones, and at
+// most half of their slots are in use by this entry, since other entries use them too.
+func (v *view) candidatesWithoutBroker(service string, r *route.Route, zone string, avoid []uint32, now time.Time) (unlimited, limited []*server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	costs := map[*server]float64{}
@@ -186,7 +189,15 @@
 		usable, costs[s] = append(usable, s), cost
 	}
 	slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(costs[a], costs[b]) })
-	return usable[:min(len(usable), maxCandidates)]
+	for _, s := range usable {
+		switch {
+		case s.limit.Limited():
+			limited = append(limited, s)
+		case len(unlimited) < maxCandidates:
+			unlimited = append(unlimited, s)
+		}
+	}
+	return unlimited, limited
 }
 
 // startRequest counts a request that starts on a server.
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -162,7 +162,7 @@
 	}
 	sample.Limit = c.view.limitReport(s, res.report, broker.LimitFromChecks, err == nil && sample.Healthy)
 	c.recordLimit(s, sample.Limit, broker.LimitFromChecks, time.Now())
-	c.finishCheck(t, sample, sentAt, time.Since(c.started))
+	c.finishCheck(t, sample, c.view.limitOf(s), sentAt, time.Since(c.started))
 }
 
 // readPace requests the pace of a server's machine, in percent of the usual; 0 if
@@ -218,7 +218,7 @@
 
 // finishCheck records a check's result, schedules the next check and reports the
 // sample to the broker if it changed or the last report is too old.
-func (c *checker) finishCheck(t *checkTarget, sample broker.Sample, sentAt, receivedAt time.Duration) {
+func (c *checker) finishCheck(t *checkTarget, sample broker.Sample, limit broker.RequestLimit, sentAt, receivedAt time.Duration) {
 	c.mu.Lock()
 	t.inProgress = false
 	t.nextCheck = receivedAt + defaultCheckInterval
@@ -227,6 +227,9 @@
 		t.nextCheck = max(t.learner.NextSample(receivedAt), sentAt+c.minInterval)
 		sample.PaceValidMillis = int(t.learner.ValidFor(receivedAt).Milliseconds())
 	}
+	if limit.Limited() {
+		t.nextCheck = max(t.nextCheck, sentAt+limitedCheckInterval(limit))
+	}
 	repeatAfter := repeatInterval
 	if sample.Pace > 0 {
 		repeatAfter = broker.PaceRepeatInterval
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,7 +133,10 @@
 		view: g.view, zone: o.Settings.Host.AvailabilityZone,
 		// The request that follows reuses the connection.
 		readLoad: func(ctx context.Context, s *server) (checkResponse, error) {
-			return g.checker.requestHealth(ctx, g.exchanger, s)
+			res, err := g.checker.requestHealth(ctx, g.exchanger, s)
+			limit := g.view.limitReport(s, res.report, broker.LimitFromChecks, err == nil)
+			g.recordLimit(s, limit, broker.LimitFromChecks, time.Now())
+			return res, err
 		},
 	}
 	g.session.assignChecks = g.checker.assign
--- a/gateway/serverlimit.go
+++ b/gateway/serverlimit.go
@@ -8,9 +8,17 @@
 	"tanagerbarrow/broker"
 )
 
-// limitLogInterval is the least time between two log lines about the requests and
-// checks that this entry sent to one limited server.
-const limitLogInterval = 4 * time.Second
+// The constants of request limits.
+const (
+	// limitTurnLifetime is how long an entry without a broker may use its turn at a
+	// limited server. Turns that all entries missed together would otherwise add up.
+	limitTurnLifetime = time.Second
+	// maxLimitedCheckInterval bounds the time between two checks of a limited server.
+	maxLimitedCheckInterval = 4 * time.Second
+	// limitLogInterval is the least time between two log lines about the requests and
+	// checks that this entry sent to one limited server.
+	limitLogInterval = 4 * time.Second
+)
 
 // limitedSends counts what this entry sent to a server since its last log line, while
 // the entry knew of the server's limit.
@@ -61,3 +69,71 @@
 		Bool("limited", limit.Limited()).Float64("per_second", limit.PerSecond).Stringer("source", source).
 		Int("requests", sent.requests).Int("checks", sent.checks).Send()
 }
+
+// limitTurn is when an entry without a broker may next send a request to a limited
+// server; the zero value is not drawn yet. All entries together keep to the limit,
+// because each sends one request in the time in which the limit allows one for each
+// entry, and begins at a random moment of that time.
+type limitTurn struct{ next time.Time }
+
+// take reports whether the turn has come, and takes it. Random is from 0 to 1.
+func (t *limitTurn) take(perSecond float64, entries int, now time.Time, random float64) bool {
+	if perSecond <= 0 || entries == 0 {
+		return false
+	}
+	interval := time.Duration(min(float64(entries)/perSecond, maxLimitTurn.Seconds()) * float64(time.Second))
+	late := now.Sub(t.next)
+	switch {
+	case late > limitTurnLifetime || -late > interval:
+		t.next = now.Add(time.Duration(random * float64(interval)))
+		return false
+	case late < 0:
+		return false
+	default:
+		t.next = now.Add(interval)
+		return true
+	}
+}
+
+// maxLimitTurn bounds the time between two turns, so that it can be calculated.
+const maxLimitTurn = 24 * time.Hour
+
+// takeLimitTurn returns the first of some limited servers at which it is the entry's
+// turn, or nil.
+func (v *view) takeLimitTurn(servers []*server, now time.Time, random float64) *server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range servers {
+		if s.limitTurn.take(s.limit.PerSecond, v.entries, now, random) {
+			return s
+		}
+	}
+	return nil
+}
+
+// serverLimits returns the request limits of all servers that name one.
+func (v *view) serverLimits() []broker.ServerLimit {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var limits []broker.ServerLimit
+	for _, s := range v.servers {
+		if s.limit.Limited() {
+			limits = append(limits, broker.ServerLimit{ServerID: s.ID, Limit: s.limit})
+		}
+	}
+	return limits
+}
+
+// limitOf returns the request limit of a server.
+func (v *view) limitOf(s *server) broker.RequestLimit {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return s.limit
+}
+
+// limitedCheckInterval returns the least time between two checks of a server with a
+// request limit: checks take a part of the requests that it allows.
+func limitedCheckInterval(l broker.RequestLimit) time.Duration {
+	rate := max(broker.LimitCheckShare*l.PerSecond, 1/maxLimitedCheckInterval.Seconds())
+	return max(defaultCheckInterval, time.Duration(float64(time.Second)/rate))
+}
--- a/gateway/serverlimit_test.go
+++ b/gateway/serverlimit_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bytes"
+	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"tanagerbarrow/broker"
+	"tanagerbarrow/route"
 )
 
 // TestResponsesReportTheServersLimit checks what an entry tells the broker and its log
@@ -49,3 +54,77 @@
 		t.Errorf("%d log lines about the limit, want 3:\n%s", lines, log)
 	}
 }
+
+// TestEntriesWithoutBrokerShareALimit lets 19 entries without a broker send far more
+// requests than a limited service takes, in one long loss of the broker and in many short
+// ones: all together keep to the limit, and use it.
+func TestEntriesWithoutBrokerShareALimit(t *testing.T) {
+	const entries, perSecond = 19, 1.5
+	for name, aloneFor := range map[string]time.Duration{"long": time.Hour, "short": 500 * time.Millisecond} {
+		random := rand.New(rand.NewPCG(5, 6))
+		turns := make([]limitTurn, entries)
+		var sent []time.Duration
+		for at := time.Duration(0); at < 2*time.Minute; at += 10 * time.Millisecond {
+			if at%(3*time.Second) > aloneFor {
+				continue
+			}
+			n := random.IntN(entries)
+			if turns[n].take(perSecond, entries, time.Unix(0, int64(at)), random.Float64()) {
+				sent = append(sent, at)
+			}
+		}
+		for i, at := range sent {
+			inWindow := 0
+			for _, other := range sent[i:] {
+				if other-at < 4*time.Second {
+					inWindow++
+				}
+			}
+			if inWindow > 1.5*perSecond*4+5 {
+				t.Fatalf("%s: %d requests in 4 s, the limit is %v a second", name, inWindow, perSecond)
+			}
+		}
+		if used := float64(len(sent)) / 120; name == "long" && used < perSecond/2 {
+			t.Errorf("%v requests a second were sent, the limit is %v", used, perSecond)
+		}
+	}
+	unknown := limitTurn{}
+	if unknown.take(1, 0, time.Now(), 0) || unknown.take(0, 19, time.Now(), 0) {
+		t.Error("an entry that does not know the number of entries, or a limit of zero, sent a request")
+	}
+}
+
+// TestAloneChoiceSparesLimitedServers checks that an entry without a broker neither uses
+// nor asks a limited server while there are others.
+func TestAloneChoiceSparesLimitedServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		idle := loadOf{slots: 2, pace: 100}
+		chooser := newAloneChooser([]loadOf{idle, idle, idle})
+		readLoad := chooser.readLoad
+		chooser.readLoad = func(ctx context.Context, s *server) (checkResponse, error) {
+			if s.Number == 1 {
+				t.Error("the limited server was asked for its load")
+			}
+			return readLoad(ctx, s)
+		}
+		chooser.view.servers[1].limit = broker.RequestLimit{PerSecond: 1, Sources: broker.LimitFromRequests}
+		chooser.view.entries = 19
+		for range 30 {
+			s := chooser.choose(t.Context(), "s", &route.Route{}, nil)
+			if s == nil || s.Number == 1 {
+				t.Fatalf("chose %+v", s)
+			}
+			chooser.view.finishRequest(s, false, time.Now())
+		}
+	})
+}
+
+// TestLimitedServersAreCheckedSeldom checks that health checks take a small part of a
+// request limit, and that an unhealthy server is still noticed in time.
+func TestLimitedServersAreCheckedSeldom(t *testing.T) {
+	for perSecond, want := range map[float64]time.Duration{0: 4 * time.Second, 0.5: 4 * time.Second, 2: 2 * time.Second, 100: time.Second} {
+		if got := limitedCheckInterval(broker.RequestLimit{PerSecond: perSecond, Sources: 1}); got != want {
+			t.Errorf("with %v a second a check each %v, want %v", perSecond, got, want)
+		}
+	}
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -203,7 +203,7 @@
 
 // subscription returns the message that asks a broker for a session.
 func (s *session) subscription() protocol.Subscribe {
-	m := protocol.Subscribe{Version: s.view.version()}
+	m := protocol.Subscribe{Version: s.view.version(), Limits: s.view.serverLimits()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, server := range s.heldGrants {
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -28,13 +28,13 @@
 )
 
 // beforeEnd returns the function that delays the end of a long upload while the
-// server's machine is slow, or nil for a short upload. The machine draws its pace
+// server's machine is slow, or nil for a short upload and for a server that names a request limit. The machine draws its pace
 // anew while a long body is being sent, and a request keeps the pace that it starts
 // with: a fourth of the requests would run five times as long. The server starts a
 // request once it has received the end of the body, so the end is held back.
 func (g *Gateway) beforeEnd(ctx context.Context, k *callerRequest, a *attempt) func() {
 	sendTime := time.Duration(g.sendMillis(k.body.Len())) * time.Millisecond
-	if sendTime < minLongUpload {
+	if sendTime < minLongUpload || g.view.limitOf(a.server).Limited() {
 		return nil
 	}
 	started := time.Now()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -32,6 +32,8 @@
 	// server under it.
 	limit        broker.RequestLimit
 	limitedSends limitedSends
+	// limitTurn is when the entry may use the limited server without a broker.
+	limitTurn limitTurn
 }
 
 // view is the state that the entry last received from the broker. It is safe for
@@ -48,6 +50,8 @@
 	encodedConfiguration []byte
 	servers              map[uint32]*server
 	zonesOut             []string
+	// entries is the number of entries that the broker last knew.
+	entries int
 }
 
 // newView returns a view without a configuration.
@@ -144,7 +148,7 @@
 func (v *view) applyView(m protocol.View, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.zonesOut = m.ZonesOut
+	v.zonesOut, v.entries = m.ZonesOut, m.Entries
 	previous := v.servers
 	if m.Full {
 		v.servers = map[uint32]*server{}
@@ -164,7 +168,10 @@
 		}
 		if old := previous[s.Number]; old != nil && old.ID == s.ID {
 			next.running, next.avoidUntil = old.running, old.avoidUntil
-			next.limit, next.limitedSends = old.limit, old.limitedSends
+			next.limitedSends, next.limitTurn = old.limitedSends, old.limitTurn
+		}
+		if s.Limit != nil {
+			next.limit = *s.Limit
 		}
 		v.servers[s.Number] = next
 	}
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -89,6 +89,8 @@
 	Version uint64
 	// Held are the grants that the entry uses.
 	Held []broker.HeldGrant
+	// Limits are the request limits that the entry knows.
+	Limits []broker.ServerLimit
 }
 
 // Welcome confirms that the sender is the leader.
@@ -112,6 +114,8 @@
 	Slots int
 	// ColdMillis is the time until the server is no longer cold, in milliseconds.
 	ColdMillis int
+	// Limit is the request limit that the server names; nil if it names none.
+	Limit *broker.RequestLimit
 }
 
 // View carries changes to the leader's view of backend servers and zones.
@@ -126,6 +130,8 @@
 	Removed []uint32
 	// ZonesOut is the complete list of availability zones that get no requests.
 	ZonesOut []string
+	// Entries is the number of connected entries.
+	Entries int
 }
 
 // Document carries a configuration, compressed with DEFLATE. The content of
