Let requests use the whole limit of a server, also after a pause

Change: requests have the whole limit, up to a second of it at once; checks, one in 1 to 4 s, come on top.

--- a/broker/limit.go
+++ b/broker/limit.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -8,12 +9,9 @@
 
 // Limits of what the broker grants to servers that name a request limit.
 const (
-	// limitBurst is the time whose requests a server may get at once. Each server may
-	// get at least one request at once.
-	limitBurst = 200 * time.Millisecond
-	// limitRequestShare is the part of a limit that requests may use; health checks take
-	// the rest.
-	limitRequestShare = 1 - LimitCheckShare
+	// limitBurst is the time whose requests a server may get at once, if it got fewer
+	// before: requests don't arrive evenly, and what its limit allows would be lost.
+	limitBurst = time.Second
 	// limitProbeRate is the least rate, in requests per second, at which a server gets
 	// requests if its health checks don't name the limit: only the response to a request
 	// shows that the limit has ended.
@@ -23,9 +21,6 @@
 	adoptedLimitLifetime = 5 * time.Second
 )
 
-// LimitCheckShare is the part of a server's request limit that health checks may use.
-const LimitCheckShare = 0.25
-
 // LimitSource says which responses of a server named its request limit. Servers
 // may name it in the responses to requests, in those to health checks, or in both.
 type LimitSource uint8
@@ -120,11 +115,11 @@
 		s.limiter = nil
 		return
 	}
-	perSecond := l.PerSecond * limitRequestShare
+	perSecond := l.PerSecond
 	if l.Sources&LimitFromChecks == 0 {
 		perSecond = max(perSecond, limitProbeRate)
 	}
-	burst := max(1, int(perSecond*limitBurst.Seconds()))
+	burst := max(1, int(math.Ceil(perSecond*limitBurst.Seconds())))
 	if s.limiter == nil {
 		s.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
 		s.limiter.AllowN(now, burst)
--- a/gateway/serverlimit.go
+++ b/gateway/serverlimit.go
@@ -13,6 +13,8 @@
 	// limitTurnLifetime is how long an entry without a broker may use its turn at a
 	// limited server. Turns that all entries missed together would otherwise add up.
 	limitTurnLifetime = time.Second
+	// limitCheckShare is how often a server is checked, as a part of its request limit.
+	limitCheckShare = 0.25
 	// maxLimitedCheckInterval bounds the time between two checks of a limited server.
 	maxLimitedCheckInterval = 4 * time.Second
 	// limitLogInterval is the least time between two log lines about the requests and
@@ -132,8 +134,8 @@
 }
 
 // limitedCheckInterval returns the least time between two checks of a server with a
-// request limit: checks take a part of the requests that it allows.
+// request limit: to a server in need, a check is one more request.
 func limitedCheckInterval(l broker.RequestLimit) time.Duration {
-	rate := max(broker.LimitCheckShare*l.PerSecond, 1/maxLimitedCheckInterval.Seconds())
+	rate := max(limitCheckShare*l.PerSecond, 1/maxLimitedCheckInterval.Seconds())
 	return max(defaultCheckInterval, time.Duration(float64(time.Second)/rate))
 }
