Log and count ejections of servers by the entry that reported the failure

Cause: nothing told apart servers that fail for all entries from entries that fail on all servers; the first attempts of each look the same in the logs of the control hosts. Change: the broker records each ejection with the entry whose request failed, and the leader logs them, 20 lines a second at most, and counts them by entry.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -55,6 +55,7 @@
 	lastServerNumber uint32
 	lastGrantID      uint64
 	outputs          []Output
+	ejections        []Ejection
 }
 
 // entry is an entry process that asks for grants.
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -542,3 +542,16 @@
 	w.TakeOutputs()
 	w.granted("e1", nil)
 }
+
+// TestEjectionsNameTheirEntry checks that an ejection tells whose request failed.
+func TestEjectionsNameTheirEntry(t *testing.T) {
+	w := newTestBroker(t, "a")
+	w.Release("e2", Release{ID: w.granted("e2", nil).Grant.ID, Outcome: Unreachable}, w.now)
+	got := w.TakeEjections()
+	if len(got) != 1 || got[0].Entry != "e2" || got[0].Server.Record.ID != "server0" || got[0].For != firstEjection {
+		t.Errorf("ejections are %+v", got)
+	}
+	if len(w.TakeEjections()) != 0 {
+		t.Error("an ejection is returned twice")
+	}
+}
--- a/broker/learn.go
+++ b/broker/learn.go
@@ -76,10 +76,10 @@
 		s.recordFailure(now)
 	case Unreachable:
 		s.recordFailure(now)
-		s.eject(now)
+		b.eject(s, g.entry, r.Outcome, now)
 	case ConnectionLost:
 		s.recordFailure(now)
-		s.eject(now)
+		b.eject(s, g.entry, r.Outcome, now)
 		b.recordConnectionLoss(g, now)
 	case WrongServer:
 		b.remove(s)
@@ -91,6 +91,28 @@
 	}
 }
 
+// Ejection says that a server gets no requests for a time, because a request of an entry
+// failed on it.
+type Ejection struct {
+	Server  *Server
+	Entry   string
+	Outcome Outcome
+	For     time.Duration
+}
+
+// eject keeps requests away from a server and records why.
+func (b *Broker) eject(s *Server, e *entry, o Outcome, now time.Time) {
+	s.eject(now)
+	b.ejections = append(b.ejections, Ejection{Server: s, Entry: e.name, Outcome: o, For: s.ejectedUntil.Sub(now)})
+}
+
+// TakeEjections returns the ejections since the last call.
+func (b *Broker) TakeEjections() []Ejection {
+	out := b.ejections
+	b.ejections = nil
+	return out
+}
+
 // recordConnectionLoss records that a request lost its connection on a server.
 func (b *Broker) recordConnectionLoss(g *grant, now time.Time) {
 	if g.fingerprint == 0 {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -15,6 +15,7 @@
 	"tanagerbarrow/protocol"
 	"tanagerbarrow/registry"
 	"tanagerbarrow/route"
+	"tanagerbarrow/telemetry"
 )
 
 // Limits and timing of the broker.
@@ -52,6 +53,8 @@
 	// maxLostHeartbeats is how many consecutive heartbeats of a live server may
 	// be lost.
 	maxLostHeartbeats = 3
+	// maxEjectionLinesPerSecond bounds the log lines about ejected servers.
+	maxEjectionLinesPerSecond = 20
 	// grantsPerTerm is the size of the range of grant numbers of each term. It
 	// keeps the numbers of different terms distinct.
 	grantsPerTerm = 1 << 32
@@ -69,6 +72,8 @@
 	urgent chan func(time.Time)
 	done   chan struct{}
 	log    zerolog.Logger
+	// ejectionLog passes on a bounded number of lines a second.
+	ejectionLog zerolog.Logger
 
 	broker   *broker.Broker
 	sessions map[string]*inboundLink
@@ -97,7 +102,7 @@
 	l := &leader{
 		c: c, term: term, events: make(chan func(time.Time), eventCapacity),
 		urgent: make(chan func(time.Time), urgentCapacity), done: make(chan struct{}),
-		log: c.log, sessions: map[string]*inboundLink{}, views: map[string]*entryView{}, assignedChecks: map[string][]uint32{},
+		log: c.log, ejectionLog: telemetry.NewRateLimitedLogger(c.log, "ejections", maxEjectionLinesPerSecond), sessions: map[string]*inboundLink{}, views: map[string]*entryView{}, assignedChecks: map[string][]uint32{},
 		index: route.NewIndex(&route.Configuration{}),
 		broker: broker.New(broker.Options{
 			Regions: c.options.Settings.Regions, Zone: c.self.AvailabilityZone, RetryRatio: b.RetryRatio, RetryExtra: b.RetryExtra,
@@ -163,6 +168,7 @@
 // tick does the periodic work that is due.
 func (l *leader) tick(now time.Time) {
 	l.broker.Tick(now)
+	l.logEjections()
 	if l.state.Document.Version > l.sentDocument.Version && now.Sub(l.documentSentAt) >= documentInterval {
 		l.broadcastDocument(now)
 	}
@@ -177,6 +183,17 @@
 	}
 }
 
+// logEjections logs which servers get no requests for a time, and whose requests failed
+// on them: an entry that reports many of them may have lost its own links.
+func (l *leader) logEjections() {
+	for _, e := range l.broker.TakeEjections() {
+		l.c.metrics.countEjection(e.Entry)
+		l.ejectionLog.Info().Str("event", "server_ejected").Str("server", e.Server.Record.ID).
+			Str("service", e.Server.Record.Service).Str("entry", e.Entry).Uint8("outcome", uint8(e.Outcome)).
+			Dur("for_ms", e.For).Send()
+	}
+}
+
 // sendDecisions sends the broker's grants and refusals to the entries. It drops
 // them if the lease has expired, because another host may lead already.
 func (l *leader) sendDecisions() {
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -37,6 +37,11 @@
 	}
 }
 
+// countEjection counts an ejection by the entry that reported the failure.
+func (m *hostMetrics) countEjection(entry string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_ejections_total{entry=%q}", entry)).Inc()
+}
+
 // countRefusal counts a refusal by its reason.
 func (m *hostMetrics) countRefusal(reason broker.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_refusals_total{reason=%q}", reason)).Inc()
