Test entries that have lost all backend servers

Cause: such an entry has no other way to a server, and its failures keep the servers from all other entries.

--- a/bench/soak/server_test.go
+++ b/bench/soak/server_test.go
@@ -153,7 +153,14 @@
 			reset(c)
 			continue
 		}
-		go s.forward(c)
+		go func() {
+			entry := s.harness.entryOf(c)
+			if entry >= 0 && s.harness.cuts[entry].Load() >= cutReset {
+				reset(c)
+				return
+			}
+			s.forward(c, entry)
+		}()
 	}
 }
 
@@ -165,8 +172,8 @@
 	_ = c.Close()
 }
 
-// forward forwards one connection in both directions.
-func (s *server) forward(c net.Conn) {
+// forward forwards one connection of an entry in both directions.
+func (s *server) forward(c net.Conn, entry int) {
 	b, err := net.Dial("tcp", s.serverListener.Addr().String())
 	if err != nil {
 		reset(c)
@@ -175,21 +182,26 @@
 	defer func() { _ = b.Close() }()
 	defer func() { _ = c.Close() }()
 	go func() {
-		s.copyWithFault(b, c, false)
+		s.copyWithFault(b, c, entry, false)
 		_ = b.Close()
 	}()
-	s.copyWithFault(c, b, true)
+	s.copyWithFault(c, b, entry, true)
 }
 
-// copyWithFault copies one direction of a connection, subject to the current fault;
-// answer marks the direction to the caller.
-func (s *server) copyWithFault(to, from net.Conn, answer bool) {
+// copyWithFault copies one direction of an entry's connection, subject to the current
+// fault and to the entry's cut; answer marks the direction to the caller.
+func (s *server) copyWithFault(to, from net.Conn, entry int, answer bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
 			return
 		}
+		if !s.harness.awaitPassage(entry) {
+			reset(to)
+			reset(from)
+			return
+		}
 		switch s.fault.Load() {
 		case faultDelay:
 			time.Sleep(100 * time.Millisecond)
--- a/bench/soak/world_test.go
+++ b/bench/soak/world_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -66,6 +67,8 @@
 	sentConfigurations map[int]string
 	requests           map[string]request
 	logs               *os.File
+	// cuts are the forms in which entries are cut off from all backend servers.
+	cuts [entryCount]atomic.Int32
 }
 
 // request is one request as its caller saw it.
--- /dev/null
+++ b/broker/cut_test.go
@@ -0,0 +1,148 @@
+package broker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tanagerbarrow/registry"
+	"tanagerbarrow/route"
+)
+
+// The deployment of the day on which entries lost all backend servers.
+const (
+	cutEntries     = 19
+	cutServers     = 24
+	cutRate        = 43.0
+	cutServiceTime = 220 * time.Millisecond
+	cutDialTimeout = 500 * time.Millisecond
+	// cutDetection is the time from the beginning of the cut from which requests count.
+	cutDetection = 3 * time.Second
+)
+
+// cutRegions are the zones of that deployment with their regions.
+var cutRegions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+// cutZones are the zones in the order in which entries and servers are spread over them.
+var cutZones = []string{"a1", "b1", "c1", "a2", "b2", "c2"}
+
+// cutDay replays requests on entries of which some have lost all servers: their requests
+// fail to connect after the dial timeout.
+type cutDay struct {
+	b       *Broker
+	random  *rand.Rand
+	cut     func(entry int) bool
+	running []cutRequest
+	// sent and served count the requests of entries with and without servers.
+	sent, served map[bool]int
+	// counted holds the asks of requests that count.
+	counted map[uint64]bool
+}
+
+// cutRequest is a granted request that ends at a time.
+type cutRequest struct {
+	entry  int
+	id     uint64
+	seq    uint64
+	endsAt time.Duration
+	failed bool
+}
+
+// newCutDay returns a day on which the entries for which cut returns true have lost all
+// servers.
+func newCutDay(cut func(entry int) bool) *cutDay {
+	d := &cutDay{
+		cut: cut, random: rand.New(rand.NewPCG(7, 8)), sent: map[bool]int{}, served: map[bool]int{}, counted: map[uint64]bool{},
+		b: New(Options{
+			Regions: cutRegions, Zone: "a1", RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second,
+			SilenceTimeout: time.Hour, Random: rand.New(rand.NewPCG(1, 2)),
+		}),
+	}
+	d.b.Configure(route.NewIndex(&route.Configuration{Services: []route.Service{{Name: "s"}}}), nil, start)
+	for n := range cutServers {
+		id := fmt.Sprint("server", n)
+		d.b.Announce(registry.Record{
+			BackendServer: registry.BackendServer{ID: id, Service: "s", Address: "at " + id, AvailabilityZone: cutZones[n%6], Slots: 2, Started: 1},
+			LastHeartbeat: start,
+		}, start)
+	}
+	for n := range cutEntries {
+		d.b.Connect(fmt.Sprint("e", n), cutZones[n%6], nil, start)
+	}
+	return d
+}
+
+// run replays the day for some time; requests count from cutDetection on.
+func (d *cutDay) run(length time.Duration) {
+	const step = 5 * time.Millisecond
+	var seq uint64
+	for at := time.Duration(0); at < length; at += step {
+		now := start.Add(at)
+		kept := d.running[:0]
+		for _, q := range d.running {
+			if q.endsAt > at {
+				kept = append(kept, q)
+				continue
+			}
+			d.end(q, now)
+		}
+		d.running = kept
+		if d.random.Float64() < cutRate*step.Seconds() {
+			seq++
+			entry := d.random.IntN(cutEntries)
+			if at >= cutDetection {
+				d.counted[seq] = true
+				d.sent[d.cut(entry)]++
+			}
+			d.b.Ask(fmt.Sprint("e", entry), Ask{Seq: seq, Service: "s", ObjectiveMillis: 600, DeadlineMillis: 4000}, now)
+		}
+		d.b.Tick(now)
+		d.startGranted(at)
+	}
+}
+
+// end releases a request's grant.
+func (d *cutDay) end(q cutRequest, now time.Time) {
+	r := Release{ID: q.id, Outcome: Answered, ElapsedMillis: int(cutServiceTime.Milliseconds()), KeepAliveMillis: 9000}
+	if q.failed {
+		r = Release{ID: q.id, Outcome: Unreachable, ElapsedMillis: int(cutDialTimeout.Milliseconds())}
+	} else if d.counted[q.seq] {
+		d.served[d.cut(q.entry)]++
+	}
+	d.b.Release(fmt.Sprint("e", q.entry), r, now)
+}
+
+// startGranted starts the requests that the broker has granted.
+func (d *cutDay) startGranted(at time.Duration) {
+	for _, o := range d.b.TakeOutputs() {
+		if o.Grant == nil {
+			continue
+		}
+		var entry int
+		_, _ = fmt.Sscanf(o.Entry, "e%d", &entry)
+		q := cutRequest{entry: entry, id: o.Grant.ID, seq: o.Grant.Seq, endsAt: at + cutServiceTime}
+		if d.cut(entry) {
+			q.failed, q.endsAt = true, at+cutDialTimeout
+		}
+		d.running = append(d.running, q)
+	}
+}
+
+// TestEntriesWithoutServersHarmNoOthers replays days on which one entry, two thirds of
+// the entries, or all of a zone have lost all backend servers: the others must be served.
+func TestEntriesWithoutServersHarmNoOthers(t *testing.T) {
+	for name, cut := range map[string]func(int) bool{
+		"one":        func(entry int) bool { return entry == 3 },
+		"two thirds": func(entry int) bool { return entry < 12 },
+		"a zone":     func(entry int) bool { return entry%6 == 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newCutDay(cut)
+			d.run(15 * time.Second)
+			if share := float64(d.served[false]) / float64(d.sent[false]); share < 0.9 {
+				t.Errorf("the others were served %.2f of %d first attempts", share, d.sent[false])
+			}
+		})
+	}
+}
