Attribute failures of an entry that has lost its links to the entry

Callers of entries whose own links worked were refused as overloaded, half of them, while other entries were cut off from the servers. Cause: the broker took a server from all entries when a request of any entry could not reach it. Two thirds of the entries failed on server after server, so that 24 of 48 slots were out at any time. Their failed health checks made servers unhealthy for all as well. Change: a server that an entry's request did not reach is avoided by that entry, for a time that doubles. Once requests of an entry have failed on two servers with no response in between, its failures and silent checks no longer count against the servers, and those that counted are withdrawn. Failures of one request alone don't suffice: it may crash the servers that run it. Why it works: the first failure still takes a crashed server out at once, and an entry that gets responses keeps that say; one without links harms a single server for 0.4 s.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -58,24 +58,6 @@
 	ejections        []Ejection
 }
 
-// entry is an entry process that asks for grants.
-type entry struct {
-	name, zone, region string
-	// disconnectedAt is the time at which its connection ended; zero while it is
-	// connected.
-	disconnectedAt time.Time
-	// idleConnections holds the entry's idle connections by server number.
-	idleConnections map[uint32]*idlePool
-	// grantIDs maps the sequence number of an ask to the identifier of its grant.
-	grantIDs map[uint64]uint64
-}
-
-// idlePool counts the idle connections of an entry to one server.
-type idlePool struct {
-	count       int
-	usableUntil time.Time
-}
-
 // grant is a request that may be running on a server.
 type grant struct {
 	id, seq     uint64
@@ -201,10 +183,7 @@
 // another broker.
 func (b *Broker) Connect(name, zone string, held []HeldGrant, now time.Time) {
 	before := b.entries[name]
-	e := &entry{
-		name: name, zone: zone, region: b.options.Regions[zone],
-		idleConnections: map[uint32]*idlePool{}, grantIDs: map[uint64]uint64{},
-	}
+	e := newEntry(name, zone, b.options.Regions[zone])
 	b.entries[name] = e
 	for _, h := range held {
 		b.adoptGrant(e, h, now)
--- a/broker/cut_test.go
+++ b/broker/cut_test.go
@@ -95,7 +95,7 @@
 				d.counted[seq] = true
 				d.sent[d.cut(entry)]++
 			}
-			d.b.Ask(fmt.Sprint("e", entry), Ask{Seq: seq, Service: "s", ObjectiveMillis: 600, DeadlineMillis: 4000}, now)
+			d.b.Ask(fmt.Sprint("e", entry), Ask{Seq: seq, Service: "s", ObjectiveMillis: 600, DeadlineMillis: 4000, Fingerprint: seq}, now)
 		}
 		d.b.Tick(now)
 		d.startGranted(at)
@@ -146,3 +146,25 @@
 		})
 	}
 }
+
+// TestChecksOfACutOffEntryRaiseNoDoubts checks that an entry that gets no response to its
+// checks of several servers makes none of them unhealthy, and that one that gets other
+// responses does.
+func TestChecksOfACutOffEntryRaiseNoDoubts(t *testing.T) {
+	for _, othersRespond := range []bool{false, true} {
+		w := newTestBroker(t, "a", "a", "a")
+		for n := range 3 {
+			m := Sample{Server: w.byID[fmt.Sprint("server", n)].Number, ColdMillis: -1, Running: -1}
+			if n == 1 && othersRespond {
+				m.Healthy, m.Responded, m.Running = true, true, 0
+			}
+			w.SampleBy("e1", m, w.now)
+		}
+		if got := w.byID["server2"].unhealthy; got != othersRespond {
+			t.Errorf("other servers respond: %v, but the silent one is unhealthy: %v", othersRespond, got)
+		}
+		if !othersRespond && w.byID["server0"].unhealthy {
+			t.Error("the first silent server stays unhealthy")
+		}
+	}
+}
--- a/broker/learn.go
+++ b/broker/learn.go
@@ -64,6 +64,9 @@
 // outcome of a request.
 func (b *Broker) recordOutcome(g *grant, r Release, now time.Time) {
 	s, p := g.server, b.pool(g.server.Record.Service)
+	if r.Outcome == Answered || r.Outcome == Failed || r.Outcome == Refused {
+		g.entry.recordResponse(s.Number)
+	}
 	switch r.Outcome {
 	case Answered:
 		took := millis(r.ElapsedMillis)
@@ -75,11 +78,9 @@
 	case Failed, Refused:
 		s.recordFailure(now)
 	case Unreachable:
-		s.recordFailure(now)
-		b.eject(s, g.entry, r.Outcome, now)
+		b.recordUnreached(g, r.Outcome, now)
 	case ConnectionLost:
-		s.recordFailure(now)
-		b.eject(s, g.entry, r.Outcome, now)
+		b.recordUnreached(g, r.Outcome, now)
 		b.recordConnectionLoss(g, now)
 	case WrongServer:
 		b.remove(s)
@@ -100,12 +101,6 @@
 	For     time.Duration
 }
 
-// eject keeps requests away from a server and records why.
-func (b *Broker) eject(s *Server, e *entry, o Outcome, now time.Time) {
-	s.eject(now)
-	b.ejections = append(b.ejections, Ejection{Server: s, Entry: e.name, Outcome: o, For: s.ejectedUntil.Sub(now)})
-}
-
 // TakeEjections returns the ejections since the last call.
 func (b *Broker) TakeEjections() []Ejection {
 	out := b.ejections
--- a/broker/message.go
+++ b/broker/message.go
@@ -160,6 +160,8 @@
 	// Limit is what the response said about the server's request limit; nil if it
 	// named none and the entry knows of none.
 	Limit *LimitReport
+	// Responded says that the server responded at all.
+	Responded bool
 }
 
 // HeldGrant is a grant that an entry holds from another broker.
--- a/broker/place.go
+++ b/broker/place.go
@@ -157,7 +157,7 @@
 
 // eligible reports whether a server may run a request once it has a free slot.
 func (b *Broker) eligible(s *Server, w *pendingAsk, now time.Time) bool {
-	return s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] &&
+	return s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && !w.entry.avoids(s.Number, now) &&
 		!slices.Contains(w.ask.ExcludedServers, s.Number) &&
 		(len(w.ask.HomeRegions) == 0 || slices.Contains(w.ask.HomeRegions, s.Region))
 }
@@ -254,12 +254,6 @@
 	}
 }
 
-// hasIdleConnection reports whether the entry has an idle connection to the server.
-func (e *entry) hasIdleConnection(server uint32, now time.Time) bool {
-	w := e.idleConnections[server]
-	return w != nil && w.count > 0 && now.Before(w.usableUntil)
-}
-
 // issueGrant grants a server to an ask and sends the grant.
 func (b *Broker) issueGrant(p *pool, w *pendingAsk, s *Server, now time.Time) {
 	b.lastGrantID++
--- a/broker/server.go
+++ b/broker/server.go
@@ -79,6 +79,8 @@
 	// sampledAt is the time of the last sample.
 	sampledAt time.Time
 	unhealthy bool
+	// sampledBy is the entry that sent the last sample.
+	sampledBy string
 	// failureScore rises with failures and decays with time; 0 means no recent
 	// failure.
 	failureScore   float64
@@ -88,6 +90,8 @@
 	slownessAt           time.Time
 	ejectedUntil         time.Time
 	consecutiveEjections int
+	// ejectedBy is the entry whose failed request caused the last ejection.
+	ejectedBy string
 	// lastHealthyAt is the time of the last complete response or good health check.
 	lastHealthyAt time.Time
 	// coldGrantTimes are the times of the last grants while the server was cold.
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -232,10 +232,10 @@
 	l.broker.Release(name, r, now)
 }
 
-// samples passes the results of health checks to the broker.
-func (l *leader) samples(samples []broker.Sample, now time.Time) {
+// samples passes the results of an entry's health checks to the broker.
+func (l *leader) samples(name string, samples []broker.Sample, now time.Time) {
 	for _, s := range samples {
-		l.broker.Sample(s, now)
+		l.broker.SampleBy(name, s, now)
 	}
 }
 
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -167,7 +167,7 @@
 		if err := link.Decode(body, &samples); err != nil {
 			return err
 		}
-		l.post(func(now time.Time) { l.samples(samples, now) })
+		l.post(func(now time.Time) { l.samples(name, samples, now) })
 	default:
 		return errors.New("unknown message kind")
 	}
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -150,7 +150,7 @@
 	sentAt := time.Since(c.started)
 	sample := broker.Sample{Server: s.Number, ColdMillis: -1, Running: -1}
 	res, err := c.requestHealth(ctx, c.exchanger, s)
-	sample.Healthy = res.status == http.StatusOK
+	sample.Healthy, sample.Responded = res.status == http.StatusOK, res.status != 0
 	sample.WrongServer = res.status == http.StatusMisdirectedRequest || (res.report.ServerID != "" && res.report.ServerID != s.ID)
 	sample.Pace = res.report.Pace
 	if res.report.Slots > 0 {
