--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -64,6 +65,9 @@
 	Target string
 	// Host is the caller's Host header, for dialects that pass it on.
 	Host string
+	// DialContext, if set, ends the opening of a new connection when it ends, but no
+	// exchange that has begun.
+	DialContext context.Context
 	// ExpectServer identifies the only server that may run the request; empty for
 	// any.
 	ExpectServer string
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -57,6 +57,8 @@
 	Status int
 	// Report is the state that the server reported with the refusal.
 	Report Report
+	// Header is the header of the response.
+	Header http.Header
 }
 
 // Error returns the message.
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -81,7 +81,13 @@
 // Exchange sends the attempt once. Its errors are *[verdict.Error]. The caller
 // closes the response's body and reads it from one goroutine.
 func (x *Exchanger) Exchange(ctx context.Context, to *membership.BackendServer, a *Attempt) (*http.Response, error) {
-	c, err := x.pool.get(ctx, to.Address, a.verifiedSince())
+	dialCtx, endDial := context.WithCancel(ctx)
+	if a.DialContext != nil {
+		stop := context.AfterFunc(a.DialContext, endDial)
+		defer stop()
+	}
+	c, err := x.pool.get(dialCtx, to.Address, a.verifiedSince())
+	endDial()
 	if err != nil {
 		return nil, dialFailure(ctx, err, to)
 	}
@@ -108,7 +114,7 @@
 	}
 	if x.dialect.NotRun(res) {
 		e.drain(res)
-		return nil, verdict.Wrap(&RefusedError{Status: res.StatusCode, Report: report},
+		return nil, verdict.Wrap(&RefusedError{Status: res.StatusCode, Report: report, Header: res.Header},
 			verdict.NotRun, http.StatusServiceUnavailable, CodeRefused,
 			"backend server %s of service %q refused the request", to.Address, to.Service)
 	}
--- a/bench/soak/cut_test.go
+++ b/bench/soak/cut_test.go
@@ -73,6 +73,22 @@
 	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
 }
 
+// cutEntries cuts one or two of the entries off from all backend servers for a time, in
+// one of the forms.
+func cutEntries(h *harness, _ []*server, end time.Time) {
+	random := h.randomFor(6)
+	for time.Now().Before(end) {
+		form := 1 + int32(random.IntN(int(cutForms-1)))
+		first, second := random.IntN(entryCount), random.IntN(entryCount)
+		h.cuts[first].Store(form)
+		h.cuts[second].Store(form)
+		time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
+		h.cuts[first].Store(cutNone)
+		h.cuts[second].Store(cutNone)
+		time.Sleep(time.Duration(300+random.IntN(2000)) * time.Millisecond)
+	}
+}
+
 // awaitPassage waits until an entry's cut lets bytes of an old connection pass. It
 // returns false if the connection is to be reset.
 func (h *harness) awaitPassage(entry int) bool {
@@ -119,9 +135,9 @@
 		h.cuts[1].Store(cutNone)
 		h.waitUntilServed()
 		cut, others := served[0]+served[1], served[2]+served[3]
-		t.Logf("form %d: entries that were cut off served %d of 120 requests, the others %d of 300", form, cut, others)
+		t.Logf("form %d: entries that were cut off served %d of 120 requests, the others %d of 120", form, cut, others)
 		if 3*cut < 2*others || others < 114 {
-			t.Errorf("form %d: entries that were cut off served %d of 120 requests, the others %d of 300", form, cut, others)
+			t.Errorf("form %d: entries that were cut off served %d of 120 requests, the others %d of 120", form, cut, others)
 		}
 	}
 	for _, failure := range h.failures {
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -67,6 +67,16 @@
 	grantedAt   time.Time
 	// expiresAt is the time after which the caller no longer waits for a response.
 	expiresAt time.Time
+	// relay is the entry that relays the request, or nil.
+	relay *entry
+}
+
+// sender returns the entry that sends the request to the server.
+func (g *grant) sender() *entry {
+	if g.relay != nil {
+		return g.relay
+	}
+	return g.entry
 }
 
 // New returns a broker without servers and entries.
@@ -157,6 +167,10 @@
 	if b.byID[s.Record.ID] == s {
 		delete(b.byID, s.Record.ID)
 	}
+	for _, e := range b.entries {
+		delete(e.avoided, s.Number)
+		delete(e.failedRequests, s.Number)
+	}
 	p := b.pool(s.Record.Service)
 	for i, other := range p.servers {
 		if other == s {
@@ -255,6 +269,9 @@
 // freeSlot releases the slot of a grant.
 func (b *Broker) freeSlot(g *grant) {
 	g.server.activeGrants = max(0, g.server.activeGrants-1)
+	if g.relay != nil {
+		g.relay.relayed = max(0, g.relay.relayed-1)
+	}
 	delete(g.entry.grantIDs, g.seq)
 }
 
@@ -276,11 +293,12 @@
 	return true
 }
 
-// Entries returns the connected entries with their availability zones.
+// Entries returns the connected entries that reach the backend servers, with their
+// availability zones.
 func (b *Broker) Entries() map[string]string {
 	zones := map[string]string{}
 	for name, e := range b.entries {
-		if e.disconnectedAt.IsZero() {
+		if e.disconnectedAt.IsZero() && !e.pathLost {
 			zones[name] = e.zone
 		}
 	}
--- a/broker/entry.go
+++ b/broker/entry.go
@@ -21,6 +21,14 @@
 	// failedRequests maps the numbers of the servers on which the entry's requests have
 	// failed, since the last response to any of them, to the request's fingerprint.
 	failedRequests map[uint32]uint64
+	// pathLost says that the entry reaches no backend server, by its own probes.
+	pathLost bool
+	// relayAddress accepts requests that the entry relays; empty if it relays none.
+	relayAddress string
+	// relayed counts the requests of others that it relays now.
+	relayed int
+	// avoidedRelays holds, by name, until when the entry's requests avoid a relay.
+	avoidedRelays map[string]time.Time
 }
 
 // avoidance keeps the requests of one entry away from a server that they didn't reach.
@@ -40,6 +48,7 @@
 	return &entry{
 		name: name, zone: zone, region: region, idleConnections: map[uint32]*idlePool{},
 		grantIDs: map[uint64]uint64{}, avoided: map[uint32]avoidance{}, failedRequests: map[uint32]uint64{},
+		avoidedRelays: map[string]time.Time{},
 	}
 }
 
@@ -76,14 +85,14 @@
 	for _, fingerprint := range e.failedRequests {
 		requests[fingerprint] = true
 	}
-	return len(e.failedRequests) >= minFailedServers && len(requests) > 1
+	return e.pathLost || (len(e.failedRequests) >= minFailedServers && len(requests) > 1)
 }
 
 // recordUnreached records that a request of the entry did not reach a server or lost its
 // connection. The server gets no requests for a time, unless the entry seems to be the
 // cause; then its earlier failures are forgiven as well.
 func (b *Broker) recordUnreached(g *grant, o Outcome, now time.Time) {
-	s, e := g.server, g.entry
+	s, e := g.server, g.sender()
 	before := e.cutOff()
 	e.avoid(s.Number, g.fingerprint, now)
 	if e.cutOff() {
--- a/broker/learn.go
+++ b/broker/learn.go
@@ -45,7 +45,7 @@
 	}
 	s.observeLimit(r.Limit, now)
 	b.recordOutcome(g, r, now)
-	if r.KeepAliveMillis > 0 {
+	if r.KeepAliveMillis > 0 && g.relay == nil {
 		idle := g.entry.idleConnections[s.Number]
 		if idle == nil {
 			idle = &idlePool{}
@@ -65,7 +65,7 @@
 func (b *Broker) recordOutcome(g *grant, r Release, now time.Time) {
 	s, p := g.server, b.pool(g.server.Record.Service)
 	if r.Outcome == Answered || r.Outcome == Failed || r.Outcome == Refused {
-		g.entry.recordResponse(s.Number)
+		g.sender().recordResponse(s.Number)
 	}
 	switch r.Outcome {
 	case Answered:
@@ -88,7 +88,11 @@
 		if millis(r.ElapsedMillis) > 2*p.serviceTime {
 			s.recordFailure(now)
 		}
-	case Unused:
+	case RelayFailed:
+		if g.relay != nil {
+			g.entry.avoidedRelays[g.relay.name] = now.Add(relayAvoidance)
+		}
+	case PathLost, Unused:
 	}
 }
 
--- a/broker/message.go
+++ b/broker/message.go
@@ -46,6 +46,9 @@
 	ID uint64
 	// Server is the number of the backend server.
 	Server uint32
+	// Relay is the address of the entry that must relay the request; empty if the entry
+	// sends it itself.
+	Relay string
 }
 
 // Refusal is the reply to an [Ask] that can't be served.
@@ -79,6 +82,9 @@
 	ReasonPoison Reason = "crashes_servers"
 	// ReasonQueueTimeout means that no slot became free in time.
 	ReasonQueueTimeout Reason = "waited"
+	// ReasonNoRelay means that the entry reaches no backend server, and that no other
+	// entry may relay the request.
+	ReasonNoRelay Reason = "no_relay"
 )
 
 // Outcome says how a granted request ended.
@@ -102,6 +108,11 @@
 	WrongServer
 	// Unused means that the grant was not used.
 	Unused
+	// PathLost means that the entry lost its path to all servers, so that the failure
+	// says nothing about this one.
+	PathLost
+	// RelayFailed means that the entry that was to relay the request failed or refused.
+	RelayFailed
 )
 
 // Release ends a grant.
@@ -183,6 +194,8 @@
 	Refusal *Refusal
 	// Server is the granted server; nil with a refusal.
 	Server *Server
+	// Relay is the name of the entry that relays the request; empty if there is none.
+	Relay string
 }
 
 // millis converts a number of milliseconds to a duration.
--- a/broker/place.go
+++ b/broker/place.go
@@ -157,7 +157,7 @@
 
 // eligible reports whether a server may run a request once it has a free slot.
 func (b *Broker) eligible(s *Server, w *pendingAsk, now time.Time) bool {
-	return s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && !w.entry.avoids(s.Number, now) &&
+	return s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && (w.entry.pathLost || !w.entry.avoids(s.Number, now)) &&
 		!slices.Contains(w.ask.ExcludedServers, s.Number) &&
 		(len(w.ask.HomeRegions) == 0 || slices.Contains(w.ask.HomeRegions, s.Region))
 }
@@ -255,11 +255,19 @@
 }
 
 // issueGrant grants a server to an ask and sends the grant.
+// The ask is refused if its entry reaches no server and no other may relay its request.
 func (b *Broker) issueGrant(p *pool, w *pendingAsk, s *Server, now time.Time) {
+	var relay *entry
+	if w.entry.pathLost {
+		if relay = b.relayFor(w, s, now); relay == nil {
+			b.refuse(p, w.entry, w.ask.Seq, ReasonNoRelay, now)
+			return
+		}
+	}
 	b.lastGrantID++
 	g := &grant{
 		id: b.lastGrantID, seq: w.ask.Seq, entry: w.entry, server: s, fingerprint: w.ask.Fingerprint,
-		grantedAt: now, expiresAt: now.Add(millis(w.ask.DeadlineMillis) + time.Second),
+		grantedAt: now, expiresAt: now.Add(millis(w.ask.DeadlineMillis) + time.Second), relay: relay,
 	}
 	b.grants[g.id] = g
 	w.entry.grantIDs[g.seq] = g.id
@@ -272,11 +280,13 @@
 	if w.ask.Retry {
 		p.grantedRetries.add(now)
 	}
-	if idle := w.entry.idleConnections[s.Number]; idle != nil && idle.count > 0 {
+	o := Output{Entry: w.entry.name, Server: s, Grant: &Grant{Seq: g.seq, ID: g.id, Server: s.Number}}
+	if idle := g.sender().idleConnections[s.Number]; idle != nil && idle.count > 0 {
 		idle.count--
 	}
-	b.outputs = append(b.outputs, Output{
-		Entry: w.entry.name, Server: s,
-		Grant: &Grant{Seq: g.seq, ID: g.id, Server: s.Number},
-	})
+	if relay != nil {
+		relay.relayed++
+		o.Relay, o.Grant.Relay = relay.name, relay.relayAddress
+	}
+	b.outputs = append(b.outputs, o)
 }
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -126,6 +126,10 @@
 		return
 	}
 	w := newPendingAsk(p, e, a, now)
+	if !b.canBeSent(w, now) {
+		b.refuse(p, e, a.Seq, ReasonNoRelay, now)
+		return
+	}
 	if len(p.queue) == 0 && b.tryGrant(p, b.serversWithFreeSlot(p, now), w, now) {
 		return
 	}
--- a/coordinator/checks.go
+++ b/coordinator/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"tanagerbarrow/protocol"
@@ -29,7 +30,7 @@
 	for _, s := range l.broker.Servers() {
 		servers = append(servers, checkedServer{s.Number, s.Record.AvailabilityZone})
 	}
-	next := assignChecks(l.assignedChecks, servers, entries)
+	next := assignChecks(l.assignedChecks, servers, entries, l.c.options.Settings.Regions)
 	for name, in := range l.sessions {
 		if slices.Equal(l.assignedChecks[name], next[name]) {
 			continue
@@ -43,8 +44,10 @@
 // where the traffic of a check costs nothing. An entry keeps its servers,
 // because it takes seconds of checks to detect that the pace of a server's host
 // has changed. Only a server that is new, has lost its entry or exceeds the
-// bound of its entry is assigned to the entry with the fewest.
-func assignChecks(previous map[string][]uint32, servers []checkedServer, entries map[string][]string) map[string][]uint32 {
+// bound of its entry is assigned to the entry with the fewest. Servers of a zone
+// without entries are assigned to those of its region or, if there are none
+// either, to all.
+func assignChecks(previous map[string][]uint32, servers []checkedServer, entries map[string][]string, regions map[string]string) map[string][]uint32 {
 	byZone := map[string][]uint32{}
 	for _, s := range servers {
 		byZone[s.zone] = append(byZone[s.zone], s.number)
@@ -53,6 +56,24 @@
 	for zone, names := range entries {
 		assignZoneChecks(next, previous, byZone[zone], names)
 	}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		if len(entries[zone]) > 0 {
+			continue
+		}
+		var sameRegion, all []string
+		for other, names := range entries {
+			all = append(all, names...)
+			if regions[other] == regions[zone] {
+				sameRegion = append(sameRegion, names...)
+			}
+		}
+		if len(sameRegion) == 0 {
+			sameRegion = all
+		}
+		if len(sameRegion) > 0 {
+			assignZoneChecks(next, previous, byZone[zone], sameRegion)
+		}
+	}
 	return next
 }
 
@@ -66,8 +87,9 @@
 		unassigned[number] = true
 	}
 	for _, name := range names {
+		others := len(next[name])
 		for _, number := range previous[name] {
-			if unassigned[number] && len(next[name]) < maxFairShares*fairShare {
+			if unassigned[number] && len(next[name])-others < maxFairShares*fairShare {
 				next[name] = append(next[name], number)
 				delete(unassigned, number)
 			}
--- a/coordinator/checks_test.go
+++ b/coordinator/checks_test.go
@@ -23,9 +23,9 @@
 		}
 		servers = append(servers, checkedServer{uint32(2 * n), zone}, checkedServer{uint32(2*n + 1), zone})
 	}
-	first := assignChecks(nil, servers, all)
-	fewer := assignChecks(first, servers, half)
-	back := assignChecks(fewer, servers, all)
+	first := assignChecks(nil, servers, all, nil)
+	fewer := assignChecks(first, servers, half, nil)
+	back := assignChecks(fewer, servers, all, nil)
 	for step, got := range []map[string][]uint32{first, fewer, back} {
 		checkAssigned(t, step, got, servers)
 	}
@@ -68,3 +68,29 @@
 		}
 	}
 }
+
+// TestZoneWithoutEntriesIsChecked takes all entries of a zone away: others of its region
+// must check its servers, or any others if the region has none, and give them back.
+func TestZoneWithoutEntriesIsChecked(t *testing.T) {
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	var servers []checkedServer
+	for n := range 12 {
+		servers = append(servers, checkedServer{uint32(n), []string{"a1", "a2", "b1"}[n%3]})
+	}
+	all := map[string][]string{"a1": {"e1", "e2"}, "a2": {"e3", "e4"}, "b1": {"e5", "e6"}}
+	without := map[string][]string{"a2": {"e3", "e4"}, "b1": {"e5", "e6"}}
+	region := map[string][]string{"b1": {"e5", "e6"}}
+	first := assignChecks(nil, servers, all, regions)
+	second := assignChecks(first, servers, without, regions)
+	third := assignChecks(second, servers, region, regions)
+	last := assignChecks(third, servers, all, regions)
+	for step, got := range []map[string][]uint32{first, second, third, last} {
+		checkAssigned(t, step, got, servers)
+	}
+	if len(second["e3"]) != 4 || len(second["e4"]) != 4 || len(third["e5"]) != 6 || len(last["e5"]) != 2 {
+		t.Errorf("checks are %v, then %v, then %v", second, third, last)
+	}
+	if got := assignChecks(first, servers, nil, regions); len(got) != 0 {
+		t.Errorf("without entries: %v", got)
+	}
+}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -89,6 +89,8 @@
 	// entry checks.
 	assignedChecks      map[string][]uint32
 	checksDistributedAt time.Time
+	// sentRelays holds, by entry name, the relays that the entry has been sent.
+	sentRelays map[string][]protocol.Relay
 	// sentEntryCount is the number of connected entries that all sessions know.
 	sentEntryCount int
 	// sessionsAdded is whether sessions were added since the last distribution.
@@ -103,7 +105,8 @@
 		c: c, term: term, events: make(chan func(time.Time), eventCapacity),
 		urgent: make(chan func(time.Time), urgentCapacity), done: make(chan struct{}),
 		log: c.log, ejectionLog: telemetry.NewRateLimitedLogger(c.log, "ejections", maxEjectionLinesPerSecond), sessions: map[string]*inboundLink{}, views: map[string]*entryView{}, assignedChecks: map[string][]uint32{},
-		index: route.NewIndex(&route.Configuration{}),
+		sentRelays: map[string][]protocol.Relay{},
+		index:      route.NewIndex(&route.Configuration{}),
 		broker: broker.New(broker.Options{
 			Regions: c.options.Settings.Regions, Zone: c.self.AvailabilityZone, RetryRatio: b.RetryRatio, RetryExtra: b.RetryExtra,
 			RetryWindow: b.RetryWindow, SilenceTimeout: maxLostHeartbeats * c.options.Settings.HeartbeatInterval, Random: rand.New(rand.NewPCG(rand.Uint64(), term)),
@@ -180,6 +183,7 @@
 		l.checksDistributedAt, l.sessionsAdded = now, false
 		l.distributeChecks()
 		l.sendLimits(now)
+		l.sendRelays()
 	}
 }
 
@@ -216,6 +220,9 @@
 		if o.Grant != nil {
 			l.c.metrics.grants.Inc()
 			l.sendGrantedServer(o.Entry, in, o.Server, time.Now())
+			if relay := l.sessions[o.Relay]; relay != nil {
+				l.sendGrantedServer(o.Relay, relay, o.Server, time.Now())
+			}
 			_ = in.conn.Send(protocol.KindGrant, o.Grant)
 			continue
 		}
@@ -246,6 +253,9 @@
 	l.sessions[name] = in
 	l.broker.AdoptLimits(s.Limits, now)
 	l.broker.Connect(name, in.hello.AvailabilityZone, s.Held, now)
+	l.broker.SetRelayAddress(name, s.RelayAddress)
+	l.setPath(name, s.Path, now)
+	delete(l.sentRelays, name)
 	l.log.Info().Str("event", "entry_connected").Str("entry", name).Int("held", len(s.Held)).
 		Uint64("config_version", s.Version).Send()
 	_ = in.conn.Send(protocol.KindWelcome, protocol.Welcome{Term: l.term})
@@ -267,6 +277,7 @@
 	delete(l.sessions, name)
 	delete(l.views, name)
 	delete(l.assignedChecks, name)
+	delete(l.sentRelays, name)
 	l.broker.Disconnect(name, now)
 	l.log.Warn().Str("event", "entry_lost").Str("entry", name).AnErr("reason", in.conn.Err()).Send()
 }
--- /dev/null
+++ b/coordinator/relays.go
@@ -0,0 +1,73 @@
+package coordinator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerbarrow/broker"
+	"tanagerbarrow/protocol"
+)
+
+// relaysPerRegion is how many relays of each region an entry knows for the time without a
+// broker. A whole zone may lose its servers, so that they are of several zones if possible.
+const relaysPerRegion = 3
+
+// setPath records an entry's path to the backend servers. An entry that stops relays no
+// further requests.
+func (l *leader) setPath(name string, p protocol.Path, now time.Time) {
+	if p.Stopping {
+		l.broker.SetRelayAddress(name, "")
+	}
+	l.broker.SetPath(name, p.Lost, now)
+}
+
+// changePath applies a change of an entry's path, and has the entries that reach the
+// servers check them.
+func (l *leader) changePath(name string, p protocol.Path, now time.Time) {
+	l.log.Warn().Str("event", "entry_path").Str("entry", name).Bool("lost", p.Lost).Bool("stopping", p.Stopping).Send()
+	l.setPath(name, p, now)
+	l.sessionsAdded = true
+}
+
+// sendRelays sends each entry the relays that it may use without a broker, if they have
+// changed.
+func (l *leader) sendRelays() {
+	all := l.broker.Relays()
+	for name, in := range l.sessions {
+		relays := chooseRelays(name, all, l.c.options.Settings.Regions)
+		if slices.Equal(relays, l.sentRelays[name]) {
+			continue
+		}
+		l.sentRelays[name] = relays
+		_ = in.conn.Send(protocol.KindRelays, relays)
+	}
+}
+
+// chooseRelays returns the relays of an entry: in each region at most relaysPerRegion, of
+// different zones as far as possible. Each entry has others, and keeps them as long as
+// they relay.
+func chooseRelays(name string, all map[string]broker.Relay, regions map[string]string) []protocol.Relay {
+	names := slices.SortedFunc(maps.Keys(all), func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(name+" "+a), xxhash.Sum64String(name+" "+b)), cmp.Compare(a, b))
+	})
+	perRegion, zones := map[string]int{}, map[string]int{}
+	var relays []protocol.Relay
+	for perZone := range relaysPerRegion {
+		for _, other := range names {
+			relay := protocol.Relay{Address: all[other].Address, AvailabilityZone: all[other].AvailabilityZone}
+			region := regions[relay.AvailabilityZone]
+			if other == name || perRegion[region] >= relaysPerRegion || zones[relay.AvailabilityZone] > perZone ||
+				slices.Contains(relays, relay) {
+				continue
+			}
+			perRegion[region]++
+			zones[relay.AvailabilityZone]++
+			relays = append(relays, relay)
+		}
+	}
+	return relays
+}
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -162,6 +162,12 @@
 			return err
 		}
 		l.post(func(now time.Time) { l.broker.Cancel(name, m.Seq, now) })
+	case protocol.KindPath:
+		var p protocol.Path
+		if err := link.Decode(body, &p); err != nil {
+			return err
+		}
+		l.post(func(now time.Time) { l.changePath(name, p, now) })
 	case protocol.KindSamples:
 		var samples []broker.Sample
 		if err := link.Decode(body, &samples); err != nil {
--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -188,7 +188,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	begun := time.Now()
-	if err := e.stop(front); err != nil {
+	if err := e.stop(front, nil); err != nil {
 		t.Error(err)
 	}
 	if took := time.Since(begun); took > grace {
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -13,6 +13,7 @@
 	"tanagerbarrow/broker"
 	"tanagerbarrow/protocol"
 	"tanagerbarrow/rhythm"
+	"tanagerbarrow/verdict"
 )
 
 // The constants of health checks.
@@ -45,7 +46,9 @@
 	// recordLimit is called with what the response to a check says about the server's
 	// request limit.
 	recordLimit func(*server, *broker.LimitReport, broker.LimitSource, time.Time)
-	started     time.Time
+	// path is told of responses and of silent servers.
+	path    *pathMonitor
+	started time.Time
 	// minInterval is the least time between two checks of one server that the
 	// deployment allows.
 	minInterval time.Duration
@@ -148,8 +151,11 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	sentAt := time.Since(c.started)
+	endWatch := c.path.watchCheck(s)
+	defer endWatch()
 	sample := broker.Sample{Server: s.Number, ColdMillis: -1, Running: -1}
-	res, err := c.requestHealth(ctx, c.exchanger, s)
+	res, err := c.requestHealth(ctx, c.exchanger, s, false)
+	c.observePath(s, res, err)
 	sample.Healthy, sample.Responded = res.status == http.StatusOK, res.status != 0
 	sample.WrongServer = res.status == http.StatusMisdirectedRequest || (res.report.ServerID != "" && res.report.ServerID != s.ID)
 	sample.Pace = res.report.Pace
@@ -170,10 +176,38 @@
 func (c *checker) readPace(ctx context.Context, s *server) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, paceCheckTimeout)
 	defer cancel()
-	res, err := c.requestHealth(ctx, c.exchanger, s)
+	res, err := c.requestHealth(ctx, c.exchanger, s, false)
 	return res.report.Pace, err
 }
 
+// probe reports whether a server responds to a health check on a new connection.
+func (c *checker) probe(ctx context.Context, s *server) bool {
+	res, _ := c.requestHealth(ctx, c.exchanger, s, true)
+	return res.status != 0
+}
+
+// checkPath checks a server for the path's sake alone.
+func (c *checker) checkPath(ctx context.Context, s *server) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	endWatch := c.path.watchCheck(s)
+	defer endWatch()
+	res, err := c.requestHealth(ctx, c.exchanger, s, false)
+	c.observePath(s, res, err)
+}
+
+// observePath tells the path of the outcome of a check.
+func (c *checker) observePath(s *server, res checkResponse, err error) {
+	switch {
+	case res.status != 0:
+		c.path.responded()
+	case verdict.As(err).Code == backend.CodeConnectionLost:
+		c.path.failed(s, false)
+	case verdict.As(err).Code == backend.CodeDialFailed, verdict.As(err).Code == backend.CodeExchangeFailed:
+		c.path.failed(s, true)
+	}
+}
+
 // checkResponse is a server's response to a health check; status is 0 if there
 // was none.
 type checkResponse struct {
@@ -181,17 +215,17 @@
 	report backend.Report
 }
 
-// requestHealth sends a health check to a server over a connection of the exchanger. A
-// server that refuses the
-// request yields both a response and an error.
-func (c *checker) requestHealth(ctx context.Context, x *backend.Exchanger, s *server) (checkResponse, error) {
+// requestHealth sends a health check to a server over a connection of the exchanger, a
+// new one if newConnection is set. A server that refuses the request yields both a
+// response and an error.
+func (c *checker) requestHealth(ctx context.Context, x *backend.Exchanger, s *server, newConnection bool) (checkResponse, error) {
 	path := "/health"
 	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
 		path = index.Service(s.Service).HealthPath
 	}
 	httpResponse, err := x.Exchange(ctx, s.endpoint, &backend.Attempt{ //nolint:bodyclose // discardBody closes it
 		Method: http.MethodGet, Target: path, Host: s.Address, Header: http.Header{},
-		ExpectServer: s.ID, Deadline: time.Now().Add(checkTimeout),
+		ExpectServer: s.ID, Deadline: time.Now().Add(checkTimeout), NewConnection: newConnection,
 	})
 	var refused *backend.RefusedError
 	switch {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -53,6 +53,9 @@
 	// grantID identifies the broker's grant; 0 if the entry chose the server
 	// without a broker.
 	grantID uint64
+	// relay is the address of the entry that must relay the request; empty if this entry
+	// sends it itself.
+	relay string
 	// startBy is when the attempt must begin, in [boottime.Now]; 0 for any time.
 	startBy time.Duration
 }
@@ -165,6 +168,11 @@
 	maxQueueWait := time.Duration(max(queueWaitObjectiveShare*float64(objective), queueWaitDeadlineShare*float64(left)))
 	startBy := boottime.Now() + maxQueueWait + grantStartTimeout
 	r, err := g.session.ask(ctx, ask, maxQueueWait)
+	if err == nil && r.grant != nil && r.grant.Relay == "" && g.path.lost() {
+		// The grant is older than the broker's knowledge that the path is lost.
+		g.session.release(broker.Release{ID: r.grant.ID, Outcome: broker.Unused})
+		r, err = g.session.ask(ctx, ask, maxQueueWait)
+	}
 	k.brokerWait += time.Since(now)
 	k.lastRefusal = r.refusal
 	switch {
@@ -177,7 +185,7 @@
 			return nil, nil, errors.Newf("the broker granted server %d, which is not in the view", r.grant.Server)
 		}
 		g.view.startRequest(s)
-		return &attempt{server: s, grantID: r.grant.ID, startBy: startBy}, nil, nil
+		return &attempt{server: s, grantID: r.grant.ID, relay: r.grant.Relay, startBy: startBy}, nil, nil
 	case !errors.Is(err, errNoBroker):
 		return nil, nil, err
 	case k.attemptsReached > 0:
@@ -185,12 +193,24 @@
 	case g.pauses.viewOutdated():
 		return nil, nil, errors.Wrap(err, "the process was paused and has not heard of the broker since")
 	}
-	s := g.alone.choose(ctx, k.service, k.route, avoid)
-	if s == nil {
+	a := g.chooseAlone(ctx, k, avoid)
+	if a == nil {
 		return nil, nil, err
 	}
 	g.placedAlone.Inc()
-	return &attempt{server: s}, nil, nil
+	return a, nil, nil
+}
+
+// chooseAlone chooses a server without a broker and, if this entry reaches no server, an
+// entry that relays the request. It returns nil if there is none.
+func (g *Gateway) chooseAlone(ctx context.Context, k *callerRequest, avoid []uint32) *attempt {
+	if g.path.lost() {
+		return g.view.relayFor(k.service, k.route, g.options.Settings.Host.AvailabilityZone, avoid, time.Now())
+	}
+	if s := g.alone.choose(ctx, k.service, k.route, avoid); s != nil {
+		return &attempt{server: s}
+	}
+	return nil
 }
 
 // sendMillis returns how long the host's link takes to send a body, in
@@ -207,23 +227,26 @@
 // releases the grant.
 func (g *Gateway) sendAttempt(ctx context.Context, k *callerRequest, a *attempt) (response, error) {
 	started := time.Now()
-	k.lastServerID = a.server.ID
-	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
-		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
-		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()), BeforeBodyEnd: g.beforeEnd(ctx, k, a),
-		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, TransferLimit: k.transferLimit(),
-		MayStart: a.mayStart,
-	})
+	k.lastServerID, k.lastRelay = a.server.ID, a.relay
+	attemptCtx, end := g.attemptContext(ctx, k, a)
+	defer end()
+	httpResponse, err := g.exchange(attemptCtx, k, a) //nolint:bodyclose // readBuffered closes it
 	res := response{}
 	var report backend.Report
 	if err == nil {
 		report = g.options.Dialect.Report(httpResponse.Header)
-		res, err = g.readResponse(ctx, k, httpResponse, a)
+		res, err = g.readResponse(attemptCtx, k, httpResponse, a)
 	}
 	var refused *backend.RefusedError
 	if errors.As(err, &refused) {
 		report = refused.Report
 	}
+	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(attemptCtx), errPathLost) {
+		err = verdict.Wrap(err, verdict.Of(err), http.StatusBadGateway, codePathLost, "backend server %s", a.server.Address)
+	}
+	if a.relay == "" {
+		g.observePath(a.server, err)
+	}
 	limit := g.view.limitReport(a.server, report, broker.LimitFromRequests, err == nil && res.status < http.StatusInternalServerError)
 	g.recordLimit(a.server, limit, broker.LimitFromRequests, time.Now())
 	k.countAttempt(err)
@@ -231,6 +254,55 @@
 	return res, err
 }
 
+// attemptContext returns the context of an attempt. If the path to the servers is lost in
+// silence, it ends an attempt that this entry sends itself and that may be repeated: its
+// response will not arrive before the path is restored.
+func (g *Gateway) attemptContext(ctx context.Context, k *callerRequest, a *attempt) (context.Context, func()) {
+	if a.relay != "" || k.route.Kind != route.Idempotent || k.attemptsRun+1 >= k.route.MaxAttempts {
+		return ctx, func() {}
+	}
+	_, delivering := g.path.contexts()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(delivering, func() { cancel(errPathLost) })
+	return attemptCtx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// exchange sends an attempt to its server, or to the entry that relays it.
+func (g *Gateway) exchange(ctx context.Context, k *callerRequest, a *attempt) (*http.Response, error) {
+	attempt := &backend.Attempt{
+		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
+		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
+		RequestID: k.id, Deadline: k.deadline, TransferLimit: k.transferLimit(), MayStart: a.mayStart,
+	}
+	if a.relay != "" {
+		return g.exchangeByRelay(ctx, a, attempt)
+	}
+	attempt.ExpectServer, attempt.BeforeBodyEnd = a.server.ID, g.beforeEnd(ctx, k, a)
+	attempt.DialContext, _ = g.path.contexts()
+	return g.exchanger.Exchange(ctx, a.server.endpoint, attempt)
+}
+
+// observePath records what the outcome of an exchange with a server says about the path
+// to the servers.
+func (g *Gateway) observePath(s *server, err error) {
+	var refused *backend.RefusedError
+	if err == nil || errors.As(err, &refused) {
+		g.path.responded()
+		return
+	}
+	switch verdict.As(err).Code {
+	case backend.CodeDialFailed, backend.CodeExchangeFailed:
+		g.path.failed(s, true)
+	case backend.CodeConnectionLost, backend.CodeSilent:
+		g.path.failed(s, false)
+	case backend.CodeAnswerCut, codeResponseMemory:
+		g.path.responded()
+	}
+}
+
 // countAttempt counts an attempt by its result. A refused request reached the
 // server and did not run; without a connection nothing reached it.
 func (k *callerRequest) countAttempt(err error) {
@@ -240,7 +312,7 @@
 		return
 	}
 	switch verdict.As(err).Code {
-	case backend.CodeDialFailed, backend.CodeTooLate:
+	case backend.CodeDialFailed, backend.CodeTooLate, codeRelayFailed:
 	default:
 		k.attemptsReached++
 	}
@@ -294,19 +366,31 @@
 // granted it, releases the grant.
 func (g *Gateway) finishAttempt(ctx context.Context, k *callerRequest, a *attempt, report backend.Report, limit *broker.LimitReport, res response, err error, took time.Duration) {
 	outcome := outcomeOf(ctx, res, err)
-	serverFailed := outcome != broker.Answered && outcome != broker.Abandoned && outcome != broker.Unused
-	g.view.finishRequest(a.server, serverFailed, time.Now())
+	if a.relay == "" && outcome != broker.Answered && outcome != broker.Refused && g.path.lost() {
+		outcome = broker.PathLost
+	}
+	g.view.finishRequest(a.server, blamesServer(outcome), time.Now())
 	g.logFailedAttempt(k, a, outcome, err, took)
 	if a.grantID == 0 {
 		return
 	}
 	r := broker.Release{ID: a.grantID, Outcome: outcome, ElapsedMillis: int(took.Milliseconds()), Pace: report.Pace, ResponseBytes: res.body.Len(), Limit: limit}
-	if outcome == broker.Answered {
+	if outcome == broker.Answered && a.relay == "" {
 		r.KeepAliveMillis = int(report.KeepAlive.Milliseconds())
 	}
 	g.session.release(r)
 }
 
+// blamesServer reports whether an outcome is a failure of the server.
+func blamesServer(o broker.Outcome) bool {
+	switch o {
+	case broker.Answered, broker.Abandoned, broker.Unused, broker.PathLost, broker.RelayFailed:
+		return false
+	default:
+		return true
+	}
+}
+
 // outcomeOf returns the outcome of an attempt.
 func outcomeOf(ctx context.Context, res response, err error) broker.Outcome {
 	if err == nil {
@@ -329,6 +413,10 @@
 		return broker.ConnectionLost
 	case backend.CodeTooLate:
 		return broker.Unused
+	case codeRelayFailed:
+		return broker.RelayFailed
+	case codePathLost:
+		return broker.PathLost
 	case codeResponseMemory:
 		return broker.Abandoned
 	}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -61,6 +61,9 @@
 	brokerWait time.Duration
 	// lastServerID identifies the backend server of the last attempt.
 	lastServerID string
+	// lastRelay is the address of the entry that relayed the last attempt; empty if this
+	// entry sent it itself.
+	lastRelay string
 	// endHeldNanos is how long the end of the body was held back, in nanoseconds.
 	endHeldNanos atomic.Int64
 	// attemptsReached counts the attempts whose bytes may have reached a backend
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
@@ -17,6 +18,7 @@
 	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/fleet"
+	"tanagerbarrow/protocol"
 	"tanagerbarrow/route"
 	"tanagerbarrow/serving"
 	"tanagerbarrow/settings"
@@ -82,6 +84,10 @@
 	session   *session
 	checker   *checker
 	exchanger *backend.Exchanger
+	// relayExchanger sends requests to other entries, which relay them.
+	relayExchanger *backend.Exchanger
+	// path tells whether this entry reaches the backend servers.
+	path *pathMonitor
 	// heldBodies limits the memory of all bodies that are held.
 	heldBodies *bodybuf.Budget
 	// responseSizes limits the length of responses.
@@ -129,11 +135,18 @@
 	g.pauses = newPauseDetector(boottime.Now, g.handlePause)
 	g.checker = newChecker(g.view, o.Dialect, o.Settings.Bounds.HealthChecksPerSecond, g.session.reportSamples)
 	g.checker.recordLimit = g.recordLimit
+	g.relayExchanger = newRelayExchanger(o.Dialect)
+	g.path = newPathMonitor(g.view, o.Log)
+	g.path.probe, g.path.check = g.checker.probe, g.checker.checkPath
+	g.path.onChange = func(lost bool) {
+		g.session.changePath(func(p *protocol.Path) { p.Lost = lost })
+	}
+	g.checker.path = g.path
 	g.alone = &aloneChooser{
 		view: g.view, zone: o.Settings.Host.AvailabilityZone,
 		// The request that follows reuses the connection.
 		readLoad: func(ctx context.Context, s *server) (checkResponse, error) {
-			res, err := g.checker.requestHealth(ctx, g.exchanger, s)
+			res, err := g.checker.requestHealth(ctx, g.exchanger, s, false)
 			limit := g.view.limitReport(s, res.report, broker.LimitFromChecks, err == nil)
 			g.recordLimit(s, limit, broker.LimitFromChecks, time.Now())
 			return res, err
@@ -183,12 +196,20 @@
 	if err != nil {
 		return err
 	}
+	relayServer, err := g.listenForRelays()
+	if err != nil {
+		return err
+	}
 	backgroundCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go g.session.run(backgroundCtx)
 	go g.pauses.run(backgroundCtx)
 	go g.checker.run(backgroundCtx)
-	serveErrors := make(chan error, 2)
+	go g.path.run(backgroundCtx)
+	serveErrors := make(chan error, 3)
+	if relayServer != nil {
+		go func() { serveErrors <- relayServer.Serve() }()
+	}
 	go func() { serveErrors <- callerServer.Serve() }()
 	go func() { serveErrors <- readinessServer.Serve() }()
 	select {
@@ -196,7 +217,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return g.stop(callerServer)
+	return g.stop(callerServer, relayServer)
 }
 
 // handleReadiness responds to the readiness probe: 200 if the process accepts
@@ -210,7 +231,8 @@
 
 // stop fails the readiness probe, lets callers close their connections, and
 // finishes the remaining requests within the grace period.
-func (g *Gateway) stop(callerServer *serving.Server) error {
+func (g *Gateway) stop(callerServer, relayServer *serving.Server) error {
+	g.session.changePath(func(p *protocol.Path) { p.Stopping = true })
 	grace := g.options.Settings.Bounds.GracePeriod
 	started := time.Now()
 	g.readiness.Set(reasonStopping, true)
@@ -220,7 +242,11 @@
 	time.Sleep(max(0, min(refuseDelay, grace/2)-time.Since(started)))
 	g.refuseRequests.Store(true)
 	callerServer.Drain(grace - stopMargin - drainMargin - time.Since(started))
-	return callerServer.Shutdown(grace - stopMargin - time.Since(started))
+	err := callerServer.Shutdown(grace - stopMargin - time.Since(started))
+	if relayServer != nil {
+		err = errors.CombineErrors(err, relayServer.Shutdown(grace-stopMargin-time.Since(started)))
+	}
+	return err
 }
 
 // recordRequest logs a finished request and updates the metrics.
@@ -237,6 +263,9 @@
 	line = line.Str("event", "request_ended").Str("request_id", k.id).Str("route", routeName).Str("service", k.service).
 		Uint64("config_version", k.version).Int("status", status).Str("server", k.lastServerID).Int("tries", k.attemptsReached).
 		Dur("took_ms", took).Dur("asked_ms", k.brokerWait).Dur("limit_ms", k.callerTimeout).Uint64("broker_term", g.view.currentTerm())
+	if k.lastRelay != "" {
+		line = line.Str("relay", k.lastRelay)
+	}
 	if held := k.endHeldNanos.Load(); held > 0 {
 		line = line.Dur("end_held_ms", time.Duration(held))
 	}
@@ -261,6 +290,6 @@
 		return
 	}
 	g.failureLog.Warn().Str("event", "try_failed").Str("request_id", k.id).Str("server", a.server.ID).
-		Str("address", a.server.Address).Uint8("outcome", uint8(outcome)).Bool("alone", a.grantID == 0).
+		Str("address", a.server.Address).Uint8("outcome", uint8(outcome)).Bool("alone", a.grantID == 0).Str("relay", a.relay).
 		Dur("took_ms", took).Err(err).Send()
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -68,6 +68,9 @@
 	subscriptions []protocol.Subscribe
 	conns         []*link.Conn
 	nextID        uint64
+	// relay is the address of the entry that relays granted requests; empty for none.
+	relay string
+	paths []protocol.Path
 }
 
 // listen opens a listener that is closed at the end of the test.
@@ -130,8 +133,12 @@
 			_ = conn.Send(protocol.KindRefusal, refusal)
 		default:
 			f.nextID++
-			_ = conn.Send(protocol.KindGrant, broker.Grant{Seq: a.Seq, ID: f.nextID, Server: server})
+			_ = conn.Send(protocol.KindGrant, broker.Grant{Seq: a.Seq, ID: f.nextID, Server: server, Relay: f.relay})
 		}
+	case protocol.KindPath:
+		var p protocol.Path
+		_ = link.Decode(body, &p)
+		f.paths = append(f.paths, p)
 	case protocol.KindRelease:
 		var r broker.Release
 		_ = link.Decode(body, &r)
@@ -320,9 +327,9 @@
 }
 
 // TestFaultMatrix injects a fault in the first server, while the second one
-// responds, for an idempotent request and one that may run only once. It checks
-// the status, and that the latter runs at most once: a 503 must mean that the
-// request has run nowhere.
+// responds, for an idempotent request and one that may run only once, sent by the
+// entry itself and by a relay. It checks the status, and that the latter runs at most
+// once: a 503 must mean that the request has run nowhere.
 func TestFaultMatrix(t *testing.T) {
 	for _, c := range []struct {
 		name       string
@@ -344,30 +351,35 @@
 			respond(c, r, 200, "", "whole")
 		}, 200, 200, true},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			var runs atomic.Int32
-			first := scriptedServer(t, func(conn net.Conn, r *http.Request) {
-				if c.ran {
+		for _, relayed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/relayed=%v", c.name, relayed), func(t *testing.T) {
+				var runs atomic.Int32
+				first := scriptedServer(t, func(conn net.Conn, r *http.Request) {
+					if c.ran {
+						runs.Add(1)
+					}
+					c.fault(conn, r)
+				})
+				second := scriptedServer(t, func(conn net.Conn, r *http.Request) {
 					runs.Add(1)
+					respond(conn, r, 200, "", "whole")
+				})
+				f, e := setUp(t, first, second)
+				if relayed {
+					startRelay(t, f)
 				}
-				c.fault(conn, r)
-			})
-			second := scriptedServer(t, func(conn net.Conn, r *http.Request) {
-				runs.Add(1)
-				respond(conn, r, 200, "", "whole")
-			})
-			_, e := setUp(t, first, second)
-			for path, want := range map[string]int{"/safe/x": c.safe, "/once/x": c.once} {
-				runs.Store(0)
-				res, text := e.send(t, http.MethodPost, path, "b")
-				if res.StatusCode != want || (want == 200 && text != "whole") {
-					t.Errorf("%s: %d %q, want %d", path, res.StatusCode, text, want)
-				}
-				if path == "/once/x" && runs.Load() > 1 {
-					t.Errorf("a request that may run once ran %d times", runs.Load())
+				for path, want := range map[string]int{"/safe/x": c.safe, "/once/x": c.once} {
+					runs.Store(0)
+					res, text := e.send(t, http.MethodPost, path, "b")
+					if res.StatusCode != want || (want == 200 && text != "whole") {
+						t.Errorf("%s: %d %q, want %d", path, res.StatusCode, text, want)
+					}
+					if path == "/once/x" && runs.Load() > 1 {
+						t.Errorf("a request that may run once ran %d times", runs.Load())
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
--- /dev/null
+++ b/gateway/path_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerbarrow/broker"
+	"tanagerbarrow/protocol"
+)
+
+// TestPathIsProbedOnlyWhenServersFailTogether checks which failures make an entry probe
+// its path: not those of one server, nor those between responses of others.
+func TestPathIsProbedOnlyWhenServersFailTogether(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		known  int
+		events func(p *pathState)
+		want   bool
+	}{
+		"nothing":                    {5, func(*pathState) {}, false},
+		"one silent server":          {5, func(p *pathState) { p.failed(1, false, at(0)); p.failed(1, false, at(50)) }, false},
+		"two silent servers":         {5, func(p *pathState) { p.failed(1, false, at(0)); p.failed(2, false, at(50)) }, true},
+		"the only server":            {1, func(p *pathState) { p.failed(1, false, at(0)) }, true},
+		"no server known":            {0, func(p *pathState) { p.failed(1, false, at(0)); p.failed(2, false, at(0)) }, false},
+		"a response in between":      {5, func(p *pathState) { p.failed(1, false, at(0)); p.responded(at(10)); p.failed(2, false, at(50)) }, false},
+		"refusals despite responses": {5, func(p *pathState) { p.failed(1, true, at(0)); p.responded(at(10)); p.failed(2, true, at(50)) }, true},
+		"refusals long ago":          {5, func(p *pathState) { p.failed(1, true, at(-3000)); p.failed(2, true, at(50)) }, false},
+	} {
+		p := newPathState()
+		c.events(&p)
+		if got := p.probeDue(c.known, at(100)); got != c.want {
+			t.Errorf("%s: a probe is due: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestPathIsLostAndRestored replays a cut: one probe without a response loses the path,
+// and two in a row with one restore it. Responses on old connections don't.
+func TestPathIsLostAndRestored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPathState()
+	p.failed(1, true, now)
+	p.failed(2, true, now)
+	if !p.probed(false, now) || !p.lost {
+		t.Fatal("the path is not lost")
+	}
+	p.responded(now)
+	for n, step := range []struct{ response, lost bool }{{true, true}, {false, true}, {true, true}, {true, false}} {
+		now = now.Add(lostProbePause)
+		if !p.probeDue(5, now) {
+			t.Fatalf("step %d: no probe is due while the path is lost", n)
+		}
+		if changed := p.probed(step.response, now); p.lost != step.lost || changed != !step.lost {
+			t.Errorf("step %d: lost %v, changed %v", n, p.lost, changed)
+		}
+	}
+	if p.probeDue(5, now.Add(time.Minute)) {
+		t.Error("a probe is due although the path was restored")
+	}
+}
+
+// TestFalseAlarmsCostFewProbes lets two servers fail all the time while others respond:
+// probes must become rare, and a loss must still be found within the time for it.
+func TestFalseAlarmsCostFewProbes(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p, probes := newPathState(), 0
+	const cutAt, length = 30 * time.Second, 40 * time.Second
+	var lostAt time.Duration
+	for at := time.Duration(0); at < length && lostAt == 0; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		p.failed(1, true, now)
+		p.failed(2, true, now)
+		if !p.probeDue(20, now) {
+			continue
+		}
+		probes++
+		if p.probed(at < cutAt, now) {
+			lostAt = at
+		}
+	}
+	if probes > 18 {
+		t.Errorf("%d probes in 30 s", probes)
+	}
+	if lostAt == 0 || lostAt-cutAt > maxProbePause+100*time.Millisecond {
+		t.Errorf("a path that was lost at %v was found lost at %v", cutAt, lostAt)
+	}
+}
+
+// TestProbesAreSpreadOverZones checks that a probe asks servers of different zones, and
+// limited ones last.
+func TestProbesAreSpreadOverZones(t *testing.T) {
+	v := newView(nil, nil)
+	for n := range 12 {
+		v.servers[uint32(n)] = &server{Server: protocol.Server{Number: uint32(n), ID: fmt.Sprint("i-", n), AvailabilityZone: fmt.Sprint("z", n%3)}}
+	}
+	v.servers[0].limit = broker.RequestLimit{PerSecond: 1, Sources: broker.LimitFromChecks}
+	for range 20 {
+		targets := v.probeTargets()
+		zones := map[string]bool{}
+		for _, s := range targets[:3] {
+			zones[s.AvailabilityZone] = true
+		}
+		if len(targets) != 12 || len(zones) != 3 || targets[11].Number != 0 {
+			t.Fatalf("%d targets, the first of zones %v, the last is %d", len(targets), zones, targets[11].Number)
+		}
+	}
+	if a, b := v.idleTargets("x", 2), v.idleTargets("x", 2); len(a) != 2 || a[0] != b[0] || a[1] != b[1] {
+		t.Error("the servers that an idle entry checks change")
+	}
+}
--- /dev/null
+++ b/gateway/relayserver.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"tanagerbarrow/backend"
+	"tanagerbarrow/boottime"
+	"tanagerbarrow/broker"
+	"tanagerbarrow/serving"
+	"tanagerbarrow/settings"
+	"tanagerbarrow/verdict"
+)
+
+// maxRelayConnections bounds the connections of entries whose requests this one relays.
+const maxRelayConnections = 512
+
+// listenForRelays opens the listener on which other entries send requests that this one
+// relays. It returns nil without an error if the settings name no address for it.
+func (g *Gateway) listenForRelays() (*serving.Server, error) {
+	s := g.options.Settings
+	if !s.Host.Address.IsValid() || s.PeerPort == 0 {
+		return nil, nil
+	}
+	e := serving.NewEcho()
+	e.Any("/*", g.serveRelayed)
+	server, err := serving.Listen(e, netip.AddrPortFrom(s.Host.Address, s.PeerPort), settings.Limits{
+		MaxConnections: maxRelayConnections, MaxHeaderBytes: maxCallerHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+	}, serving.ReceiveBuffer(callerReceiveBuffer(s.LinkBytesPerSecond)))
+	if err != nil {
+		return nil, err
+	}
+	g.session.setRelayAddress(server.Address())
+	return server, nil
+}
+
+// serveRelayed sends a request of another entry to the server that it names, and returns
+// the server's complete response. It never passes a request on to a further entry.
+func (g *Gateway) serveRelayed(c echo.Context) error {
+	r := c.Request()
+	k := &callerRequest{request: r, arrived: time.Now(), id: r.Header.Get(g.options.Dialect.RequestID)}
+	defer k.releaseBodies()
+	a, err := g.relayedAttempt(r)
+	if err == nil {
+		err = k.readRelayed(g, a)
+	}
+	var res response
+	if err == nil {
+		res, err = g.sendRelayed(k, a)
+	}
+	if err != nil {
+		return g.writeRelayError(c, k, err)
+	}
+	g.countRelayed("relayed")
+	h := c.Response().Header()
+	for name, values := range res.header {
+		h[name] = values
+	}
+	h.Set(headerRelayResult, verdict.Ran.String())
+	if r.Method != http.MethodHead && res.status != http.StatusNoContent && res.status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(res.body.Len()))
+	}
+	c.Response().WriteHeader(res.status)
+	err = writeBody(c.Response(), res.body, g.pacer.outgoing(r.Context(), res.body.Len()))
+	return errors.Wrap(err, "write the response to the other entry")
+}
+
+// relayedAttempt reads what another entry asks for. It refuses what this entry would not
+// send for its own callers, or if it has no path to the servers itself.
+func (g *Gateway) relayedAttempt(r *http.Request) (*attempt, error) {
+	startMillis, err := strconv.ParseInt(r.Header.Get(headerRelayStart), 10, 64)
+	id, address := r.Header.Get(headerRelayServer), r.Header.Get(headerRelayAddress)
+	for _, name := range []string{headerRelayServer, headerRelayAddress, headerRelayStart, headerRelayResult} {
+		r.Header.Del(name)
+	}
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, codeRelayFailed, "read the time to start")
+	}
+	if g.refuseRequests.Load() || g.pauses.viewOutdated() || g.path.lost() {
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRelayFailed, "this entry relays no requests now")
+	}
+	s := g.view.serverInUse(id, address)
+	if s == nil {
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRelayFailed, "backend server %q at %q is not in use", id, address)
+	}
+	return &attempt{server: s, startBy: boottime.Now() + time.Duration(startMillis)*time.Millisecond}, nil
+}
+
+// readRelayed reads the deadline and the body of a relayed request.
+func (k *callerRequest) readRelayed(g *Gateway, a *attempt) error {
+	ms, err := strconv.ParseFloat(k.request.Header.Get(g.options.Dialect.Timeout), 64)
+	if err != nil || ms <= 0 {
+		return verdict.New(verdict.NotRun, http.StatusBadRequest, codeRelayFailed, "a relayed request has no deadline")
+	}
+	k.deadline = k.arrived.Add(time.Duration(ms * float64(time.Millisecond)))
+	k.service = a.server.Service
+	return k.readBody(g.heldBodies, 0, g.pacer)
+}
+
+// sendRelayed sends a relayed request to its server and reads the complete response.
+func (g *Gateway) sendRelayed(k *callerRequest, a *attempt) (response, error) {
+	ctx := k.request.Context()
+	g.view.startRequest(a.server)
+	usable, _ := g.path.contexts()
+	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
+		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
+		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
+		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, MayStart: a.mayStart, DialContext: usable,
+	})
+	res := response{}
+	var report backend.Report
+	if err == nil {
+		report = g.options.Dialect.Report(httpResponse.Header)
+		res, err = g.readResponse(ctx, k, httpResponse, a)
+	}
+	g.observePath(a.server, err)
+	limit := g.view.limitReport(a.server, report, broker.LimitFromRequests, err == nil && res.status < http.StatusInternalServerError)
+	g.recordLimit(a.server, limit, broker.LimitFromRequests, time.Now())
+	g.view.finishRequest(a.server, blamesServer(outcomeOf(ctx, res, err)), time.Now())
+	return res, err
+}
+
+// writeRelayError responds to another entry with an error of this one, or with a
+// server's proof that it did not run the request.
+func (g *Gateway) writeRelayError(c echo.Context, k *callerRequest, err error) error {
+	e := verdict.As(err)
+	status := e.Status
+	h := c.Response().Header()
+	var refused *backend.RefusedError
+	if errors.As(err, &refused) {
+		status = refused.Status
+		backend.RemoveHopByHop(refused.Header)
+		refused.Header.Del("Content-Length")
+		for name, values := range refused.Header {
+			h[name] = values
+		}
+	}
+	g.countRelayed(e.Code)
+	g.failureLog.Warn().Str("event", "relay_failed").Str("request_id", k.id).Str("service", k.service).
+		Str("verdict", e.Verdict.String()).Str("reason", e.Code).Err(err).Send()
+	h.Set(headerRelayResult, e.Verdict.String()+" "+e.Code)
+	return c.NoContent(status)
+}
+
+// countRelayed counts a relayed request by its result.
+func (g *Gateway) countRelayed(result string) {
+	g.options.Metrics.GetOrCreateCounter(`tanagerbarrow_relayed_total{result="` + result + `"}`).Inc()
+}
+
+// serverInUse returns the server with an identifier and address, unless its zone is out
+// of service; nil if there is none.
+func (v *view) serverInUse(id, address string) *server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.servers {
+		if s.ID == id && s.Address == address && !v.isZoneOut(s.AvailabilityZone) {
+			return s
+		}
+	}
+	return nil
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -66,6 +66,10 @@
 	// identifier of a grant to that of its server.
 	pendingAsks map[uint64]chan reply
 	heldGrants  map[uint64]string
+	// relayAddress accepts requests that this entry relays; empty if it relays none.
+	relayAddress string
+	// path is what the broker knows of the path to the backend servers.
+	path protocol.Path
 }
 
 // newSession returns a session that is not connected.
@@ -107,6 +111,8 @@
 	// subscribed is whether a subscription was sent to the host since it last said that
 	// it doesn't lead.
 	subscribed bool
+	// subscribedPath is the path that the subscription told.
+	subscribedPath protocol.Path
 	// handshakeTimer closes the connection if no welcome follows the subscription.
 	handshakeTimer *time.Timer
 }
@@ -150,6 +156,11 @@
 		}
 	case protocol.KindView:
 		err = c.handleView(body)
+	case protocol.KindRelays:
+		var relays []protocol.Relay
+		if err = link.Decode(body, &relays); err == nil {
+			c.session.view.setRelays(relays)
+		}
 	case protocol.KindCheckAssignment:
 		var m protocol.CheckAssignment
 		if err = link.Decode(body, &m); err == nil {
@@ -191,7 +202,9 @@
 	}
 	c.subscribed = true
 	c.handshakeTimer = time.AfterFunc(handshakeTimeout, c.conn.Close)
-	return c.conn.Send(protocol.KindSubscribe, c.session.subscription())
+	m := c.session.subscription()
+	c.subscribedPath = m.Path
+	return c.conn.Send(protocol.KindSubscribe, m)
 }
 
 // stopHandshakeTimer ends the wait for a welcome.
@@ -206,6 +219,7 @@
 	m := protocol.Subscribe{Version: s.view.version(), Limits: s.view.serverLimits()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	m.RelayAddress, m.Path = s.relayAddress, s.path
 	for id, server := range s.heldGrants {
 		m.Held = append(m.Held, broker.HeldGrant{ServerID: server, ID: id})
 	}
@@ -239,6 +253,7 @@
 	if before := c.session.use(c.conn); before != nil {
 		before.Close()
 	}
+	c.session.resendPath(c.subscribedPath)
 	c.session.log.Info().Str("event", "broker_found").Str("address", c.address).Uint64("term", w.Term).Send()
 	c.session.onStateChange()
 	c.search.end()
@@ -390,6 +405,33 @@
 	}
 }
 
+// setRelayAddress sets the address at which this entry accepts requests that it relays.
+// It must be called before run.
+func (s *session) setRelayAddress(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayAddress = address
+}
+
+// changePath changes what the broker knows of the path to the backend servers.
+func (s *session) changePath(change func(*protocol.Path)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.path)
+	if s.conn != nil {
+		_ = s.conn.Send(protocol.KindPath, s.path)
+	}
+}
+
+// resendPath tells a new broker of the path if it has changed since the subscription.
+func (s *session) resendPath(told protocol.Path) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && s.path != told {
+		_ = s.conn.Send(protocol.KindPath, s.path)
+	}
+}
+
 // reportSamples sends results of health checks to the broker.
 func (s *session) reportSamples(samples []broker.Sample) {
 	s.mu.Lock()
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -53,7 +53,7 @@
 	}
 	stopped := make(chan error, 1)
 	begun := time.Now()
-	go func() { stopped <- e.stop(front) }()
+	go func() { stopped <- e.stop(front, nil) }()
 	time.Sleep(grace * 2 / 3)
 	if res := ask(); res.StatusCode != http.StatusServiceUnavailable || !res.Close {
 		t.Errorf("status %d, closes %v", res.StatusCode, res.Close)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -52,6 +52,8 @@
 	zonesOut             []string
 	// entries is the number of entries that the broker last knew.
 	entries int
+	// relays are the entries that may relay requests without a broker.
+	relays []protocol.Relay
 }
 
 // newView returns a view without a configuration.
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -43,6 +43,10 @@
 	KindHeartbeat
 	// KindRecordsCall is a call that returns all records of backend servers.
 	KindRecordsCall
+	// KindPath tells the broker whether an entry reaches the backend servers.
+	KindPath
+	// KindRelays lists the entries that may relay requests without a broker.
+	KindRelays
 )
 
 // ControlHost is a control host in a [Directory].
@@ -91,6 +95,32 @@
 	Held []broker.HeldGrant
 	// Limits are the request limits that the entry knows.
 	Limits []broker.ServerLimit
+	// RelayAddress accepts requests of other entries that the entry relays; empty if it
+	// relays none.
+	RelayAddress string
+	// Path is the entry's path to the backend servers.
+	Path Path
+}
+
+// Path tells whether an entry reaches the backend servers.
+type Path struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Lost says that the entry reaches no backend server, so that others must relay its
+	// requests.
+	Lost bool
+	// Stopping says that the entry relays no further requests.
+	Stopping bool
+}
+
+// Relay is an entry that may relay requests of others.
+type Relay struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Address accepts the requests of other entries.
+	Address string
+	// AvailabilityZone is the entry's zone.
+	AvailabilityZone string
 }
 
 // Welcome confirms that the sender is the leader.
