Choose relays on a ring of entries, and only when they change

Cause: each half second the leader sorted all entries anew for each entry. Change: one order of all relays, from which each entry takes the next ones; nothing is chosen while the relays stay the same.

--- a/broker/entry.go
+++ b/broker/entry.go
@@ -81,11 +81,14 @@
 // its failures say nothing about them. Failures of one request alone may be the fault of
 // that request: it may crash the servers that run it.
 func (e *entry) cutOff() bool {
+	if e.pathLost || len(e.failedRequests) < minFailedServers {
+		return e.pathLost
+	}
 	requests := map[uint64]bool{}
 	for _, fingerprint := range e.failedRequests {
 		requests[fingerprint] = true
 	}
-	return e.pathLost || (len(e.failedRequests) >= minFailedServers && len(requests) > 1)
+	return len(requests) > 1
 }
 
 // recordUnreached records that a request of the entry did not reach a server or lost its
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -91,6 +91,9 @@
 	checksDistributedAt time.Time
 	// sentRelays holds, by entry name, the relays that the entry has been sent.
 	sentRelays map[string][]protocol.Relay
+	// relays are the entries that relayed requests when sentRelays was last brought up to
+	// date.
+	relays map[string]broker.Relay
 	// sentEntryCount is the number of connected entries that all sessions know.
 	sentEntryCount int
 	// sessionsAdded is whether sessions were added since the last distribution.
--- a/coordinator/relays.go
+++ b/coordinator/relays.go
@@ -37,8 +37,14 @@
 // changed.
 func (l *leader) sendRelays() {
 	all := l.broker.Relays()
+	changed := !maps.Equal(all, l.relays)
+	l.relays = all
+	ring := relayRing(all)
 	for name, in := range l.sessions {
-		relays := chooseRelays(name, all, l.c.options.Settings.Regions)
+		if _, sent := l.sentRelays[name]; sent && !changed {
+			continue
+		}
+		relays := chooseRelays(name, ring, all, l.c.options.Settings.Regions)
 		if slices.Equal(relays, l.sentRelays[name]) {
 			continue
 		}
@@ -47,25 +53,36 @@
 	}
 }
 
-// chooseRelays returns the relays of an entry: in each region at most relaysPerRegion, of
-// different zones as far as possible. Each entry has others, and keeps them as long as
-// they relay.
-func chooseRelays(name string, all map[string]broker.Relay, regions map[string]string) []protocol.Relay {
-	names := slices.SortedFunc(maps.Keys(all), func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(name+" "+a), xxhash.Sum64String(name+" "+b)), cmp.Compare(a, b))
+// ringHash is the position of an entry on the ring of relays.
+func ringHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// relayRing returns the names of all relays in the order of their positions.
+func relayRing(all map[string]broker.Relay) []string {
+	return slices.SortedFunc(maps.Keys(all), func(a, b string) int {
+		return cmp.Or(cmp.Compare(ringHash(a), ringHash(b)), cmp.Compare(a, b))
+	})
+}
+
+// chooseRelays returns the relays of an entry: the next ones on the ring, in each region at
+// most relaysPerRegion, of different zones as far as possible. Each entry has others, and
+// keeps them as long as they relay.
+func chooseRelays(name string, ring []string, all map[string]broker.Relay, regions map[string]string) []protocol.Relay {
+	first, _ := slices.BinarySearchFunc(ring, ringHash(name), func(a string, position uint64) int {
+		return cmp.Compare(ringHash(a), position)
 	})
-	perRegion, zones := map[string]int{}, map[string]int{}
+	perRegion, perZone := map[string]int{}, map[string]int{}
 	var relays []protocol.Relay
-	for perZone := range relaysPerRegion {
-		for _, other := range names {
+	for sameZone := range relaysPerRegion {
+		for n := range ring {
+			other := ring[(first+n)%len(ring)]
 			relay := protocol.Relay{Address: all[other].Address, AvailabilityZone: all[other].AvailabilityZone}
 			region := regions[relay.AvailabilityZone]
-			if other == name || perRegion[region] >= relaysPerRegion || zones[relay.AvailabilityZone] > perZone ||
+			if other == name || perRegion[region] >= relaysPerRegion || perZone[relay.AvailabilityZone] > sameZone ||
 				slices.Contains(relays, relay) {
 				continue
 			}
 			perRegion[region]++
-			zones[relay.AvailabilityZone]++
+			perZone[relay.AvailabilityZone]++
 			relays = append(relays, relay)
 		}
 	}
--- a/coordinator/relays_test.go
+++ b/coordinator/relays_test.go
@@ -22,7 +22,7 @@
 	uses := map[string]int{}
 	chosen := map[string][]protocol.Relay{}
 	for name := range all {
-		relays := chooseRelays(name, all, regions)
+		relays := chooseRelays(name, relayRing(all), all, regions)
 		chosen[name] = relays
 		perRegion, perZone := map[string]int{}, map[string]int{}
 		for _, r := range relays {
@@ -43,14 +43,15 @@
 	delete(all, "e7")
 	changed := 0
 	for name := range all {
-		if !slices.Equal(chooseRelays(name, all, regions), chosen[name]) {
+		if !slices.Equal(chooseRelays(name, relayRing(all), all, regions), chosen[name]) {
 			changed++
 		}
 	}
 	if changed > uses["at e7"] {
 		t.Errorf("%d entries have other relays, %d knew the one that left", changed, uses["at e7"])
 	}
-	if got := chooseRelays("e1", map[string]broker.Relay{"e1": all["e1"]}, regions); len(got) != 0 {
+	alone := map[string]broker.Relay{"e1": all["e1"]}
+	if got := chooseRelays("e1", relayRing(alone), alone, regions); len(got) != 0 {
 		t.Errorf("a single entry knows %v", got)
 	}
 }
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -230,6 +230,9 @@
 	known := m.view.serverCount()
 	m.mu.Lock()
 	due := m.state.probeDue(known, now)
+	if known == 0 {
+		m.state.responded(now)
+	}
 	idle := !m.state.lost && now.Sub(m.state.lastResponse) > idleCheckPause
 	m.mu.Unlock()
 	if due {
