Watch the path by requests that wait, not by checks of idle entries

Change: an entry checks two servers when a request has waited 500 ms and nothing responded meanwhile. The number of entries is sent again when it has changed by a tenth, relays at most every 2 s.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -93,7 +93,8 @@
 	sentRelays map[string][]protocol.Relay
 	// relays are the entries that relayed requests when sentRelays was last brought up to
 	// date.
-	relays map[string]broker.Relay
+	relays       map[string]broker.Relay
+	relaysSentAt time.Time
 	// sentEntryCount is the number of connected entries that all sessions know.
 	sentEntryCount int
 	// sessionsAdded is whether sessions were added since the last distribution.
@@ -186,7 +187,7 @@
 		l.checksDistributedAt, l.sessionsAdded = now, false
 		l.distributeChecks()
 		l.sendLimits(now)
-		l.sendRelays()
+		l.sendRelays(now)
 	}
 }
 
--- a/coordinator/relays.go
+++ b/coordinator/relays.go
@@ -16,6 +16,10 @@
 // broker. A whole zone may lose its servers, so that they are of several zones if possible.
 const relaysPerRegion = 3
 
+// relaySendPeriod is how often entries are sent their relays. While a deployment starts,
+// one message then covers many changes.
+const relaySendPeriod = 2 * time.Second
+
 // setPath records an entry's path to the backend servers. An entry that stops relays no
 // further requests.
 func (l *leader) setPath(name string, p protocol.Path, now time.Time) {
@@ -35,7 +39,11 @@
 
 // sendRelays sends each entry the relays that it may use without a broker, if they have
 // changed.
-func (l *leader) sendRelays() {
+func (l *leader) sendRelays(now time.Time) {
+	if now.Sub(l.relaysSentAt) < relaySendPeriod {
+		return
+	}
+	l.relaysSentAt = now
 	all := l.broker.Relays()
 	changed := !maps.Equal(all, l.relays)
 	l.relays = all
--- a/coordinator/views.go
+++ b/coordinator/views.go
@@ -100,13 +100,16 @@
 		l.log.Info().Str("event", "server_limit").Str("server", s.Record.ID).Str("service", s.Record.Service).
 			Bool("limited", limit.Limited()).Float64("per_second", limit.PerSecond).Send()
 	}
-	countChanged := l.sentEntryCount != len(l.sessions)
+	countChanged := differByMuch(l.sentEntryCount, len(l.sessions))
 	if len(changed) > 0 || countChanged {
 		l.sentEntryCount = len(l.sessions)
 		l.sendChanges(changed, nil, countChanged, now)
 	}
 }
 
+// differByMuch reports whether two numbers of entries differ by more than a tenth.
+func differByMuch(a, b int) bool { return 10*max(a-b, b-a) > max(a, b) }
+
 // sendFullView sends its whole view to an entry that has just subscribed.
 func (l *leader) sendFullView(name string, in *inboundLink, now time.Time) {
 	s := newEntryView(l.c.options.Settings.Regions[in.hello.AvailabilityZone])
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -230,6 +230,10 @@
 	k.lastServerID, k.lastRelay = a.server.ID, a.relay
 	attemptCtx, end := g.attemptContext(ctx, k, a)
 	defer end()
+	if a.relay == "" {
+		endWatch := g.path.watchRequest(attemptCtx, a.server)
+		defer endWatch()
+	}
 	httpResponse, err := g.exchange(attemptCtx, k, a) //nolint:bodyclose // readBuffered closes it
 	res := response{}
 	var report backend.Report
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -1,16 +1,12 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 )
@@ -43,9 +39,10 @@
 	// that come and go would take requests with them.
 	lostProbePause  = 250 * time.Millisecond
 	restoringProbes = 2
-	// idleCheckPause is the time without any response after which the entry checks
-	// servers itself, since nothing else would show that the path is lost.
-	idleCheckPause = 500 * time.Millisecond
+	// requestSilence is how long a request may wait, with no response of any server
+	// meanwhile, before the entry checks servers: an entry that checks none itself has
+	// nothing else that shows a silent path soon.
+	requestSilence = 500 * time.Millisecond
 )
 
 // errPathLost is the cause for ending attempts when the path to the servers is lost.
@@ -144,8 +141,6 @@
 	// onChange is called after the path was lost or restored.
 	onChange func(lost bool)
 	log      zerolog.Logger
-	// salt makes each process check other servers while it is idle.
-	salt string
 	// failures receives a value after a failure.
 	failures chan struct{}
 	isLost   atomic.Bool
@@ -161,7 +156,7 @@
 
 // newPathMonitor returns a monitor of a path that works.
 func newPathMonitor(v *view, log zerolog.Logger) *pathMonitor {
-	m := &pathMonitor{view: v, log: log, salt: strconv.FormatUint(rand.Uint64(), 36), failures: make(chan struct{}, 1), state: newPathState()}
+	m := &pathMonitor{view: v, log: log, failures: make(chan struct{}, 1), state: newPathState()}
 	m.renewContexts()
 	return m
 }
@@ -224,27 +219,37 @@
 	}
 }
 
-// step probes the path if that is due, and checks servers if nothing responded for long.
+// step probes the path if that is due.
 func (m *pathMonitor) step(ctx context.Context) {
-	now := time.Now()
 	known := m.view.serverCount()
 	m.mu.Lock()
-	due := m.state.probeDue(known, now)
-	if known == 0 {
-		m.state.responded(now)
-	}
-	idle := !m.state.lost && now.Sub(m.state.lastResponse) > idleCheckPause
+	due := m.state.probeDue(known, time.Now())
 	m.mu.Unlock()
 	if due {
 		targets := m.view.probeTargets()
 		m.recordProbe(m.probeAny(ctx, targets[:min(len(targets), probedServers)]))
-		return
 	}
-	if idle {
-		for _, s := range m.view.idleTargets(m.salt, minFailedServers) {
-			go m.check(ctx, s)
+}
+
+// watchRequest checks servers if a request that this entry has just sent to a server waits
+// for too long. The returned function ends the watch.
+func (m *pathMonitor) watchRequest(ctx context.Context, s *server) (end func() bool) {
+	started := time.Now()
+	return time.AfterFunc(requestSilence, func() {
+		m.mu.Lock()
+		quiet := !m.state.lost && m.state.lastResponse.Before(started)
+		m.mu.Unlock()
+		if !quiet {
+			return
 		}
-	}
+		for _, other := range m.view.probeTargets() {
+			if other.Number != s.Number {
+				go m.check(ctx, other)
+				break
+			}
+		}
+		m.check(ctx, s)
+	}).Stop
 }
 
 // recordProbe records the result of a probe and acts on a change of the path.
@@ -327,23 +332,6 @@
 	return targets
 }
 
-// idleTargets returns some known servers of which none names a request limit: for a salt
-// always the same ones, so that their checks need no new connections.
-func (v *view) idleTargets(salt string, count int) []*server {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var targets []*server
-	for _, s := range v.servers {
-		if !s.limit.Limited() {
-			targets = append(targets, s)
-		}
-	}
-	slices.SortFunc(targets, func(a, b *server) int {
-		return cmp.Compare(xxhash.Sum64String(salt+a.ID), xxhash.Sum64String(salt+b.ID))
-	})
-	return targets[:min(len(targets), count)]
-}
-
 // serverCount returns the number of known servers.
 func (v *view) serverCount() int {
 	v.mu.Lock()
