Check near servers when a request waits, over connections that requests use

Change: the other server that is checked is of the entry's zone if there is one, checks use the connections of requests, and a request waits 700 ms before.

--- a/gateway/check.go
+++ b/gateway/check.go
@@ -186,13 +186,13 @@
 	return res.status != 0
 }
 
-// checkPath checks a server for the path's sake alone.
-func (c *checker) checkPath(ctx context.Context, s *server) {
+// checkPath checks a server for the path's sake alone, over a connection of the exchanger.
+func (c *checker) checkPath(ctx context.Context, x *backend.Exchanger, s *server) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	endWatch := c.path.watchCheck(s)
 	defer endWatch()
-	res, err := c.requestHealth(ctx, c.exchanger, s, false)
+	res, err := c.requestHealth(ctx, x, s, false)
 	c.observePath(s, res, err)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,8 +136,10 @@
 	g.checker = newChecker(g.view, o.Dialect, o.Settings.Bounds.HealthChecksPerSecond, g.session.reportSamples)
 	g.checker.recordLimit = g.recordLimit
 	g.relayExchanger = newRelayExchanger(o.Dialect)
-	g.path = newPathMonitor(g.view, o.Log)
-	g.path.probe, g.path.check = g.checker.probe, g.checker.checkPath
+	g.path = newPathMonitor(g.view, o.Settings.Host.AvailabilityZone, o.Log)
+	g.path.probe = g.checker.probe
+	// Requests can use the connections of these checks.
+	g.path.check = func(ctx context.Context, s *server) { g.checker.checkPath(ctx, g.exchanger, s) }
 	g.path.onChange = func(lost bool) {
 		g.session.changePath(func(p *protocol.Path) { p.Lost = lost })
 	}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -42,7 +42,7 @@
 	// requestSilence is how long a request may wait, with no response of any server
 	// meanwhile, before the entry checks servers: an entry that checks none itself has
 	// nothing else that shows a silent path soon.
-	requestSilence = 500 * time.Millisecond
+	requestSilence = 700 * time.Millisecond
 )
 
 // errPathLost is the cause for ending attempts when the path to the servers is lost.
@@ -134,6 +134,7 @@
 // whether it is lost. It is safe for concurrent use.
 type pathMonitor struct {
 	view *view
+	zone string
 	// probe reports whether a server responds to a health check on a new connection, and
 	// check checks a server on a kept one.
 	probe func(context.Context, *server) bool
@@ -155,8 +156,8 @@
 }
 
 // newPathMonitor returns a monitor of a path that works.
-func newPathMonitor(v *view, log zerolog.Logger) *pathMonitor {
-	m := &pathMonitor{view: v, log: log, failures: make(chan struct{}, 1), state: newPathState()}
+func newPathMonitor(v *view, zone string, log zerolog.Logger) *pathMonitor {
+	m := &pathMonitor{view: v, zone: zone, log: log, failures: make(chan struct{}, 1), state: newPathState()}
 	m.renewContexts()
 	return m
 }
@@ -242,11 +243,8 @@
 		if !quiet {
 			return
 		}
-		for _, other := range m.view.probeTargets() {
-			if other.Number != s.Number {
-				go m.check(ctx, other)
-				break
-			}
+		if other := m.view.nearestServer(m.zone, s); other != nil {
+			go m.check(ctx, other)
 		}
 		m.check(ctx, s)
 	}).Stop
@@ -332,6 +330,31 @@
 	return targets
 }
 
+// nearestServer returns a server other than the given one, of an availability zone if it
+// has one, else of its region or any; nil if there is none. Servers that name a request
+// limit are spared.
+func (v *view) nearestServer(zone string, not *server) *server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var nearest *server
+	distance := func(s *server) int {
+		switch {
+		case s.AvailabilityZone == zone:
+			return 0
+		case s.region == v.regions[zone]:
+			return 1
+		default:
+			return 2
+		}
+	}
+	for _, s := range v.servers {
+		if s.Number != not.Number && !s.limit.Limited() && (nearest == nil || distance(s) < distance(nearest)) {
+			nearest = s
+		}
+	}
+	return nearest
+}
+
 // serverCount returns the number of known servers.
 func (v *view) serverCount() int {
 	v.mu.Lock()
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tanagerbarrow/broker"
 	"tanagerbarrow/protocol"
 )
@@ -106,3 +110,46 @@
 		}
 	}
 }
+
+// TestWaitingRequestMakesEntryCheckServers lets a request wait on an entry that checks no
+// server itself: two silent servers must lead to a probe, but not if one responds.
+func TestWaitingRequestMakesEntryCheckServers(t *testing.T) {
+	for _, responds := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			v := newView(nil, map[string]string{"a": "west", "b": "east"})
+			for n, zone := range []string{"a", "b", "b", "a"} {
+				v.servers[uint32(n)] = &server{Server: protocol.Server{Number: uint32(n), AvailabilityZone: zone}, region: v.regions[zone]}
+			}
+			m := newPathMonitor(v, "a", zerolog.Nop())
+			checked := make(chan uint32, 9)
+			m.check = func(_ context.Context, s *server) {
+				checked <- s.Number
+				if responds {
+					m.responded()
+					return
+				}
+				m.failed(s, false)
+			}
+			end := m.watchRequest(t.Context(), v.servers[0])
+			time.Sleep(requestSilence + time.Millisecond)
+			synctest.Wait()
+			end()
+			if len(checked) != 2 || <-checked+<-checked != 3 {
+				t.Error("the request's server and the other one of the zone were not checked")
+			}
+			if due := m.state.probeDue(4, time.Now()); due == responds {
+				t.Errorf("servers respond: %v, a probe is due: %v", responds, due)
+			}
+			m.responded()
+			end = m.watchRequest(t.Context(), v.servers[0])
+			time.Sleep(requestSilence / 2)
+			m.responded()
+			time.Sleep(requestSilence)
+			synctest.Wait()
+			end()
+			if len(checked) != 0 {
+				t.Error("servers were checked although one responded meanwhile")
+			}
+		})
+	}
+}
