Don't take a congested link for a lost path

Uploads fill the thin links of its entries; probes of four servers got no response within 250 ms, and the requests of these entries were relayed over the same links. Change: a probe waits 600 ms, and a check is silent after 400 ms. The log names the error of the last server that did not respond.

--- a/gateway/check.go
+++ b/gateway/check.go
@@ -180,10 +180,14 @@
 	return res.report.Pace, err
 }
 
-// probe reports whether a server responds to a health check on a new connection.
-func (c *checker) probe(ctx context.Context, s *server) bool {
-	res, _ := c.requestHealth(ctx, c.exchanger, s, true)
-	return res.status != 0
+// probe returns an error if a server does not respond to a health check on a new
+// connection.
+func (c *checker) probe(ctx context.Context, s *server) error {
+	res, err := c.requestHealth(ctx, c.exchanger, s, true)
+	if res.status != 0 {
+		return nil
+	}
+	return err
 }
 
 // checkPath checks a server for the path's sake alone, over a connection of the exchanger.
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -15,7 +15,7 @@
 const (
 	// checkSilence is how long a health check may stay without a response before its
 	// server counts as silent; health checks respond at once.
-	checkSilence = 250 * time.Millisecond
+	checkSilence = 400 * time.Millisecond
 	// minFailedServers is the number of servers that must fail, with no response of any
 	// server in between, before the entry probes its path. One alone is more likely to
 	// be at fault itself.
@@ -25,8 +25,9 @@
 	// probedServers is how many servers a probe asks, spread over availability zones. The
 	// path is lost if none of them responds.
 	probedServers = 4
-	// probeTimeout bounds a probe.
-	probeTimeout = 250 * time.Millisecond
+	// probeTimeout bounds a probe. Bodies on a thin link delay other packets by hundreds of
+	// milliseconds.
+	probeTimeout = 600 * time.Millisecond
 	// probePause is the least time between two probes. It doubles after each that found
 	// the path in order, up to maxProbePause: while some servers can't be reached, each
 	// probe costs new connections. alarmLifetime is the time without a probe after which
@@ -135,9 +136,9 @@
 type pathMonitor struct {
 	view *view
 	zone string
-	// probe reports whether a server responds to a health check on a new connection, and
-	// check checks a server on a kept one.
-	probe func(context.Context, *server) bool
+	// probe returns an error if a server does not respond to a health check on a new
+	// connection, and check checks a server on a kept one.
+	probe func(context.Context, *server) error
 	check func(context.Context, *server)
 	// onChange is called after the path was lost or restored.
 	onChange func(lost bool)
@@ -273,7 +274,7 @@
 	if lost {
 		event = "path_lost"
 	}
-	m.log.Warn().Str("event", event).Int("probed", r.probed).Bool("silent", r.silent).Send()
+	m.log.Warn().Str("event", event).Int("probed", r.probed).Bool("silent", r.silent).Err(r.err).Send()
 	m.onChange(lost)
 }
 
@@ -282,19 +283,21 @@
 	probed, responded int
 	// silent says that a server neither responded nor refused the connection.
 	silent bool
+	// err is the error of the last server that did not respond.
+	err error
 }
 
 // probeAny probes servers at the same time and returns as soon as one has responded.
 func (m *pathMonitor) probeAny(ctx context.Context, servers []*server) probeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	responses := make(chan bool, len(servers))
+	responses := make(chan error, len(servers))
 	for _, s := range servers {
 		go func() { responses <- m.probe(ctx, s) }()
 	}
 	r := probeResult{probed: len(servers)}
 	for range servers {
-		if <-responses {
+		if r.err = <-responses; r.err == nil {
 			r.responded++
 			return r
 		}
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -153,3 +153,34 @@
 		})
 	}
 }
+
+// TestCongestedPathIsNotLost probes servers that respond late, as over a link full of
+// uploads: the path must not be lost, and one that delivers nothing is.
+func TestCongestedPathIsNotLost(t *testing.T) {
+	for delay, lost := range map[time.Duration]bool{500 * time.Millisecond: false, time.Hour: true} {
+		synctest.Test(t, func(t *testing.T) {
+			v := newView(nil, nil)
+			for n := range 6 {
+				v.servers[uint32(n)] = &server{Server: protocol.Server{Number: uint32(n), AvailabilityZone: fmt.Sprint("z", n)}}
+			}
+			m := newPathMonitor(v, "z0", zerolog.Nop())
+			m.onChange = func(bool) {}
+			m.probe = func(ctx context.Context, _ *server) error {
+				select {
+				case <-time.After(delay):
+					return nil
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+			for n := range uint32(2) {
+				m.failed(v.servers[n], false)
+			}
+			begun := time.Now()
+			m.step(t.Context())
+			if m.lost() != lost || time.Since(begun) > probeTimeout {
+				t.Errorf("servers respond after %v, lost: %v after %v", delay, m.lost(), time.Since(begun))
+			}
+		})
+	}
+}
