--- a/balance/choices.go
+++ b/balance/choices.go
@@ -144,6 +144,9 @@
 	HomeRegions []string
 	// Excluded are the addresses of backend servers to exclude.
 	Excluded []netip.AddrPort
+	// ExcludedZone is an availability zone whose backend servers are excluded; empty for
+	// none.
+	ExcludedZone string
 }
 
 // allows reports whether the query permits a backend server.
@@ -151,6 +154,9 @@
 	if len(q.HomeRegions) > 0 && !slices.Contains(q.HomeRegions, c.region) {
 		return false
 	}
+	if q.ExcludedZone != "" && c.server.Record.AvailabilityZone == q.ExcludedZone {
+		return false
+	}
 	return len(q.Excluded) == 0 || !slices.Contains(q.Excluded, c.server.Record.Address)
 }
 
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagerbarrow/backend"
+	"tanagerbarrow/balance"
 	"tanagerbarrow/limit"
 	"tanagerbarrow/membership"
 	"tanagerbarrow/request"
@@ -103,3 +104,46 @@
 		_ = res.Body.Close()
 	}
 }
+
+// closingZone simulates a zone whose backend servers close while requests run on them:
+// each connection to them breaks, also a new one.
+type closingZone struct{ zone string }
+
+func (c closingZone) Exchange(_ context.Context, to *membership.BackendServer, _ *backend.Attempt) (*http.Response, error) {
+	if to.AvailabilityZone == c.zone {
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, backend.CodeExchangeFailed, "broken")
+	}
+	return responseOf(0, http.NoBody), nil
+}
+
+// TestReadSurvivesAClosingZone lets all servers of a zone close at once: a read that broke
+// on one of them must be tried in another zone next, and in the same one if there is none.
+func TestReadSurvivesAClosingZone(t *testing.T) {
+	view := &membership.View{Services: map[string][]membership.BackendServer{}}
+	for port := range uint16(6) {
+		view.Services["s"] = append(view.Services["s"], membership.BackendServer{
+			Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1),
+			AvailabilityZone: []string{"a", "b", "b"}[port%3], Slots: 2, Generation: 1,
+		})
+	}
+	regions := map[string]string{"a": "north", "b": "north"}
+	config := state.NewConfiguration()
+	for name, balancer := range map[string]Picker{
+		"round robin": &RoundRobin{Members: func() *membership.View { return view }, Configuration: state.NewConfiguration, Regions: regions},
+		"adaptive": &Balancer{
+			Members: func() *membership.View { return view }, Configuration: func() *state.Configuration { return config },
+			Place: balance.Place{AvailabilityZone: "a", Regions: regions, RoundTrips: balance.DefaultRoundTrips()},
+			Loads: balance.NewLoads(balance.Options{Self: "e", Live: func() []string { return []string{"e"} }}, time.Now()),
+		},
+	} {
+		for range 60 {
+			d := &Dispatcher{Exchanger: closingZone{"b"}, Retries: limit.NewRetryBudget(), Balancer: balancer}
+			r := &request.Request{Service: state.Service{Name: "s"}, Class: request.Read, Deadline: time.Now().Add(time.Hour)}
+			res, err := d.Dispatch(context.Background(), r, httptest.NewRequest(http.MethodGet, "/s/x", nil))
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			_ = res.Body.Close()
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,11 +60,20 @@
 type Picker interface {
 	// Reserve chooses a backend server and counts the attempt as in progress on
 	// it. It may wait until ctx ends.
-	Reserve(ctx context.Context, r *request.Request, excluded []netip.AddrPort) (balance.StartedRequest, error)
+	Reserve(ctx context.Context, r *request.Request, x Exclusions) (balance.StartedRequest, error)
 	// Release counts the attempt as finished and records its result.
 	Release(started balance.StartedRequest, result balance.Result)
 }
 
+// Exclusions are the backend servers that an attempt must not or should not reach.
+type Exclusions struct {
+	// Servers are never chosen.
+	Servers []netip.AddrPort
+	// Zone is the availability zone whose servers are chosen only if no other one has
+	// room; empty for none.
+	Zone string
+}
+
 // Dispatcher sends requests to backend servers and retries them.
 type Dispatcher struct {
 	// Exchanger sends attempts.
@@ -93,10 +102,11 @@
 // responds or a failure forbids a retry. A failed dial does not count against the
 // retry budget. All attempts but the first use new connections: if the first
 // broke because its backend server failed, others may have failed with it. A
-// refused dial detects that without counting as a crash.
+// refused dial detects that without counting as a crash. The servers of a zone may
+// fail together, so that the next attempt goes to another zone.
 func (d *Dispatcher) attempts(ctx context.Context, r *request.Request, h *http.Request, body body) (*http.Response, error) {
 	d.Retries.RecordRequest()
-	var excluded []netip.AddrPort
+	var excluded Exclusions
 	var last error
 	for sent, unreachable, crashes := 0, 0, 0; sent < maxAttempts && unreachable < maxDialFailures; {
 		started, err := d.Balancer.Reserve(ctx, r, excluded)
@@ -113,10 +123,11 @@
 		}
 		last = keepWeakerVerdict(last, err)
 		if !backend.ConnectionAtFault(err) {
-			excluded = append(excluded, to)
+			excluded.Servers = append(excluded.Servers, to)
 		}
 		if mayHaveCrashed(err) {
 			crashes++
+			excluded.Zone = started.Server.Record.AvailabilityZone
 		}
 		if ctx.Err() != nil || !mayRetry(r, err, body) || crashes >= maxCrashes {
 			break
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,13 +95,21 @@
 // start chooses a backend server and counts the request as in progress on it. ok
 // is false if there is none; full is then true if there are backend servers that
 // are all at their limits.
-func (b *Balancer) start(r *request.Request, excluded []netip.AddrPort, waiting int) (started balance.StartedRequest, ok, full bool) {
+func (b *Balancer) start(r *request.Request, x Exclusions, waiting int) (started balance.StartedRequest, ok, full bool) {
+	query := balance.Query{Waiting: waiting, HomeRegions: r.HomeRegions, Excluded: x.Servers, ExcludedZone: x.Zone}
+	if started, ok, full = b.startAny(r.Service.Name, query); ok || x.Zone == "" {
+		return started, ok, full
+	}
+	query.ExcludedZone = ""
+	return b.startAny(r.Service.Name, query)
+}
+
+// startAny is start for a query whose time and random number are not set.
+func (b *Balancer) startAny(service string, query balance.Query) (started balance.StartedRequest, ok, full bool) {
 	all := b.choices()
 	for range maxStartAttempts {
-		s, full := all.Pick(r.Service.Name, balance.Query{
-			Now: time.Now().UnixNano(), Random: rand.Uint64(), Waiting: waiting,
-			HomeRegions: r.HomeRegions, Excluded: excluded,
-		})
+		query.Now, query.Random = time.Now().UnixNano(), rand.Uint64()
+		s, full := all.Pick(service, query)
 		if s == nil {
 			return balance.StartedRequest{}, false, full
 		}
@@ -116,9 +123,9 @@
 // Reserve chooses a backend server for the request and counts the request as in
 // progress on it. It waits while all are at their limits. If no backend server is
 // allowed, it returns errNoServer.
-func (b *Balancer) Reserve(ctx context.Context, r *request.Request, excluded []netip.AddrPort) (balance.StartedRequest, error) {
+func (b *Balancer) Reserve(ctx context.Context, r *request.Request, x Exclusions) (balance.StartedRequest, error) {
 	if b.waitingFor(r.Service.Name) == 0 {
-		started, ok, full := b.start(r, excluded, 0)
+		started, ok, full := b.start(r, x, 0)
 		if ok {
 			return started, nil
 		}
@@ -126,7 +133,7 @@
 			return balance.StartedRequest{}, errNoServer
 		}
 	}
-	return b.wait(ctx, r, excluded)
+	return b.wait(ctx, r, x)
 }
 
 // errNoServer means that no backend server is allowed for a request.
--- a/dispatch/pick_test.go
+++ b/dispatch/pick_test.go
@@ -45,7 +45,7 @@
 			b.Refresh()
 			b.Loads.Tick(now)
 		}
-		if _, ok, _ := entries[0].start(&request.Request{Service: state.Service{Name: "s"}}, nil, 0); ok {
+		if _, ok, _ := entries[0].start(&request.Request{Service: state.Service{Name: "s"}}, Exclusions{}, 0); ok {
 			return true
 		}
 		sendReport(entries[0].Loads, entries[1].Loads, "e2", now)
--- a/dispatch/roundrobin.go
+++ b/dispatch/roundrobin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"sync/atomic"
 
@@ -26,16 +25,24 @@
 }
 
 // Reserve returns the next allowed backend server of the service.
-func (b *RoundRobin) Reserve(_ context.Context, r *request.Request, excluded []netip.AddrPort) (balance.StartedRequest, error) {
+func (b *RoundRobin) Reserve(_ context.Context, r *request.Request, x Exclusions) (balance.StartedRequest, error) {
 	servers := b.Members().Services[r.Service.Name]
 	out := b.Configuration().ZonesOut
 	start := b.next.Add(1)
+	var inExcludedZone *balance.Server
 	for i := range servers {
 		s := servers[(start+uint64(i))%uint64(len(servers))]
 		zone := s.AvailabilityZone
-		if !out[zone] && r.AllowedIn(b.Regions[zone]) && !slices.Contains(excluded, s.Address) {
+		if out[zone] || !r.AllowedIn(b.Regions[zone]) || slices.Contains(x.Servers, s.Address) {
+			continue
+		}
+		if zone != x.Zone {
 			return balance.StartedRequest{Server: &balance.Server{Record: s}}, nil
 		}
+		inExcludedZone = &balance.Server{Record: s}
+	}
+	if inExcludedZone != nil {
+		return balance.StartedRequest{Server: inExcludedZone}, nil
 	}
 	return balance.StartedRequest{}, errNoServer
 }
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"tanagerbarrow/balance"
@@ -23,7 +22,7 @@
 // queuedRequest is a request in a queue.
 type queuedRequest struct {
 	request  *request.Request
-	excluded []netip.AddrPort
+	excluded Exclusions
 	result   chan waitResult // capacity 1
 }
 
@@ -50,9 +49,9 @@
 }
 
 // wait queues the request until a backend server has room for it.
-func (b *Balancer) wait(ctx context.Context, r *request.Request, excluded []netip.AddrPort) (balance.StartedRequest, error) {
+func (b *Balancer) wait(ctx context.Context, r *request.Request, x Exclusions) (balance.StartedRequest, error) {
 	now := time.Now()
-	t := &queuedRequest{request: r, excluded: excluded, result: make(chan waitResult, 1)}
+	t := &queuedRequest{request: r, excluded: x, result: make(chan waitResult, 1)}
 	w := &limit.Waiter[*queuedRequest]{ClientAccount: r.ClientAccount, ArrivedAt: now, Deadline: earlierTime(r.Deadline, now.Add(maxQueueWait)), Value: t}
 	b.push(r.Service.Name, w)
 	b.wake(r.Service.Name)
--- a/dispatch/wait_test.go
+++ b/dispatch/wait_test.go
@@ -50,7 +50,7 @@
 			wg.Go(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+i%7*5)*10*time.Millisecond)
 				defer cancel()
-				started, err := b.Reserve(ctx, read("account", time.Second), nil)
+				started, err := b.Reserve(ctx, read("account", time.Second), Exclusions{})
 				if err != nil {
 					if verdict.Of(err) != verdict.NotRun {
 						t.Errorf("%v carries %s, want NotRun", err, verdict.Of(err))
@@ -81,14 +81,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := oneServer()
 		for range 6 {
-			if _, err := b.Reserve(t.Context(), read("greedy", time.Hour), nil); err != nil {
+			if _, err := b.Reserve(t.Context(), read("greedy", time.Hour), Exclusions{}); err != nil {
 				t.Fatal(err)
 			}
 		}
 		var shed atomic.Int64
 		reserve := func(account string) {
 			go func() {
-				_, err := b.Reserve(t.Context(), read(account, time.Hour), nil)
+				_, err := b.Reserve(t.Context(), read(account, time.Hour), Exclusions{})
 				var e *verdict.Error
 				if errors.As(err, &e) && e.Code == "overloaded" {
 					if account != "greedy" || e.Verdict != verdict.NotRun {
