--- a/gateway/path.go
+++ b/gateway/path.go
@@ -270,11 +270,11 @@
 	if !changed {
 		return
 	}
-	event := "path_restored"
 	if lost {
-		event = "path_lost"
+		m.log.Warn().Str("event", "path_lost").Int("probed", r.probed).Bool("silent", r.silent).Err(r.err).Send()
+	} else {
+		m.log.Info().Str("event", "path_restored").Int("probed", r.probed).Send()
 	}
-	m.log.Warn().Str("event", event).Int("probed", r.probed).Bool("silent", r.silent).Err(r.err).Send()
 	m.onChange(lost)
 }
 
