--- a/broker/entry.go
+++ b/broker/entry.go
@@ -93,7 +93,7 @@
 
 // recordUnreached records that a request of the entry did not reach a server or lost its
 // connection. The server gets no requests for a time, unless the entry seems to be the
-// cause; then its earlier failures are forgiven as well.
+// cause; then its earlier failures are withdrawn as well.
 func (b *Broker) recordUnreached(g *grant, o Outcome, now time.Time) {
 	s, e := g.server, g.sender()
 	before := e.cutOff()
@@ -134,8 +134,8 @@
 	b.Sample(m, now)
 }
 
-// withdrawEjections ends the ejections that failures of an entry have caused, and the
-// doubts that its checks have raised.
+// withdrawEjections ends the ejections that failures of an entry have caused, and trusts
+// the servers again that its checks have found unhealthy.
 func (b *Broker) withdrawEjections(e *entry) {
 	for _, s := range b.servers {
 		if s.sampledBy == e.name {
--- a/broker/server.go
+++ b/broker/server.go
@@ -102,7 +102,7 @@
 	// everGranted says that the server has been granted to a request before.
 	everGranted bool
 	// limit is the request limit that the server names, and limiter allows its requests
-	// accordingly; nil without a limit. limitObserved says that a response has told of
+	// accordingly; nil without a limit. limitObserved says that a response has reported
 	// the limit in this broker's term, and limitChanged that the entries don't know of
 	// its last change.
 	limit                       RequestLimit
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -46,7 +46,7 @@
 	// recordLimit is called with what the response to a check says about the server's
 	// request limit.
 	recordLimit func(*server, *broker.LimitReport, broker.LimitSource, time.Time)
-	// path is told of responses and of silent servers.
+	// path records responses and silent servers.
 	path    *pathMonitor
 	started time.Time
 	// minInterval is the least time between two checks of one server that the
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -192,7 +192,7 @@
 	}
 	f.mu.Lock()
 	if len(f.paths) == 0 || !f.paths[len(f.paths)-1].Lost {
-		t.Errorf("the broker was told %+v", f.paths)
+		t.Errorf("the broker received %+v", f.paths)
 	}
 	f.mu.Unlock()
 	for range restoringProbes {
