Spare limited servers when a waiting request makes an entry check its path

Cause: reading the change again showed a way to a server that names a request limit: the check of a request's own server. An attempt that ended before anything was written because the path was lost also counted as one that had reached a server, and its retry against the retry budget. Change: an entry checks the nearest servers that name no limit; such attempts don't count. Measured: TestWaitingRequestMakesEntryCheckServers has a limited server now; the gateway's tests pass with the race detector.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -124,7 +124,7 @@
 		return
 	}
 	switch verdict.As(err).Code {
-	case backend.CodeDialFailed, backend.CodeTooLate, codeRelayFailed:
+	case backend.CodeDialFailed, backend.CodeTooLate, codeRelayFailed, codePathLost:
 	default:
 		k.attemptsReached++
 	}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -244,10 +246,9 @@
 		if !quiet {
 			return
 		}
-		if other := m.view.nearestServer(m.zone, s); other != nil {
+		for _, other := range m.view.nearestServers(m.zone, s, minFailedServers) {
 			go m.check(ctx, other)
 		}
-		m.check(ctx, s)
 	}).Stop
 }
 
@@ -333,29 +334,31 @@
 	return targets
 }
 
-// nearestServer returns a server other than the given one, of an availability zone if it
-// has one, else of its region or any; nil if there is none. Servers that name a request
-// limit are spared.
-func (v *view) nearestServer(zone string, not *server) *server {
+// nearestServers returns the given server and the nearest others of an availability zone,
+// its region or elsewhere, as many as asked for. Those that name a request limit are spared.
+func (v *view) nearestServers(zone string, first *server, count int) []*server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var nearest *server
 	distance := func(s *server) int {
 		switch {
-		case s.AvailabilityZone == zone:
+		case s.Number == first.Number:
 			return 0
-		case s.region == v.regions[zone]:
+		case s.AvailabilityZone == zone:
 			return 1
-		default:
+		case s.region == v.regions[zone]:
 			return 2
+		default:
+			return 3
 		}
 	}
+	var nearest []*server
 	for _, s := range v.servers {
-		if s.Number != not.Number && !s.limit.Limited() && (nearest == nil || distance(s) < distance(nearest)) {
-			nearest = s
+		if !s.limit.Limited() {
+			nearest = append(nearest, s)
 		}
 	}
-	return nearest
+	slices.SortFunc(nearest, func(a, b *server) int { return cmp.Compare(distance(a), distance(b)) })
+	return nearest[:min(len(nearest), count)]
 }
 
 // serverCount returns the number of known servers.
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -150,6 +150,14 @@
 			if len(checked) != 0 {
 				t.Error("servers were checked although one responded meanwhile")
 			}
+			v.servers[0].limit = broker.RequestLimit{PerSecond: 1, Sources: broker.LimitFromRequests}
+			end = m.watchRequest(t.Context(), v.servers[0])
+			time.Sleep(requestSilence + time.Millisecond)
+			synctest.Wait()
+			end()
+			if len(checked) != 2 || <-checked == 0 || <-checked == 0 {
+				t.Error("a server that names a request limit was checked, or fewer than two others")
+			}
 		})
 	}
 }
