Report the pauses that servers ask for, in logs, metrics and to the broker

Cause: nothing in the logs told which entries servers ask to pause, for how long, and which requests and checks reach the server meanwhile. Change: entries decode Retry-After of each 503 of a server, log it, count the requests and checks that they send to the server until the time ends, and tell the broker in a new kind of message, which control hosts of earlier builds ignore. Nothing acts on it yet. The tests of platform, gateway, broker and coordinator pass with the race detector.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -49,6 +49,9 @@
 	// requests per second that the server takes from all callers together.
 	Limited      bool
 	RequestLimit float64
+	// RetryAfter is the time after which the server wants to be asked again; 0 if not
+	// reported.
+	RetryAfter time.Duration
 }
 
 // RefusedError is the cause of an error with [CodeRefused].
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -170,6 +170,7 @@
 	for _, e := range b.entries {
 		delete(e.avoided, s.Number)
 		delete(e.failedRequests, s.Number)
+		delete(e.backoffs, s.Record.ID)
 	}
 	p := b.pool(s.Record.Service)
 	for i, other := range p.servers {
@@ -205,6 +206,7 @@
 	if before == nil {
 		return
 	}
+	e.backoffs = before.backoffs
 	for id, g := range b.grants {
 		if g.entry == before {
 			b.freeSlot(g)
@@ -253,6 +255,7 @@
 		}
 	}
 	for name, e := range b.entries {
+		e.expireBackoffs(now)
 		if !e.disconnectedAt.IsZero() && now.Sub(e.disconnectedAt) > 2*disconnectedGrantLifetime {
 			delete(b.entries, name)
 		}
--- a/broker/entry.go
+++ b/broker/entry.go
@@ -29,6 +29,9 @@
 	relayed int
 	// avoidedRelays holds, by name, until when the entry's requests avoid a relay.
 	avoidedRelays map[string]time.Time
+	// backoffs holds, by server identifier, until when a server wants no requests of the
+	// entry.
+	backoffs map[string]time.Time
 }
 
 // avoidance keeps the requests of one entry away from a server that they didn't reach.
@@ -48,7 +51,7 @@
 	return &entry{
 		name: name, zone: zone, region: region, idleConnections: map[uint32]*idlePool{},
 		grantIDs: map[uint64]uint64{}, avoided: map[uint32]avoidance{}, failedRequests: map[uint32]uint64{},
-		avoidedRelays: map[string]time.Time{},
+		avoidedRelays: map[string]time.Time{}, backoffs: map[string]time.Time{},
 	}
 }
 
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -139,44 +139,31 @@
 	name := in.hello.Name
 	switch kind {
 	case protocol.KindSubscribe:
-		var s protocol.Subscribe
-		if err := link.Decode(body, &s); err != nil {
-			return err
-		}
-		l.post(func(now time.Time) { l.subscribe(in, s, now) })
+		return postMessage(l, body, func(m protocol.Subscribe, now time.Time) { l.subscribe(in, m, now) })
 	case protocol.KindAsk:
-		var a broker.Ask
-		if err := link.Decode(body, &a); err != nil {
-			return err
-		}
-		l.post(func(now time.Time) { l.ask(name, a, now) })
+		return postMessage(l, body, func(m broker.Ask, now time.Time) { l.ask(name, m, now) })
 	case protocol.KindRelease:
-		var r broker.Release
-		if err := link.Decode(body, &r); err != nil {
-			return err
-		}
-		l.post(func(now time.Time) { l.release(name, r, now) })
+		return postMessage(l, body, func(m broker.Release, now time.Time) { l.release(name, m, now) })
 	case protocol.KindCancel:
-		var m broker.Cancel
-		if err := link.Decode(body, &m); err != nil {
-			return err
-		}
-		l.post(func(now time.Time) { l.broker.Cancel(name, m.Seq, now) })
+		return postMessage(l, body, func(m broker.Cancel, now time.Time) { l.broker.Cancel(name, m.Seq, now) })
 	case protocol.KindPath:
-		var p protocol.Path
-		if err := link.Decode(body, &p); err != nil {
-			return err
-		}
-		l.post(func(now time.Time) { l.changePath(name, p, now) })
+		return postMessage(l, body, func(m protocol.Path, now time.Time) { l.changePath(name, m, now) })
+	case protocol.KindBackoff:
+		return postMessage(l, body, func(m broker.Backoff, now time.Time) { l.broker.SetBackoff(name, m, now) })
 	case protocol.KindSamples:
-		var samples []broker.Sample
-		if err := link.Decode(body, &samples); err != nil {
-			return err
-		}
-		l.post(func(now time.Time) { l.samples(name, samples, now) })
+		return postMessage(l, body, func(m []broker.Sample, now time.Time) { l.samples(name, m, now) })
 	default:
 		return errors.New("unknown message kind")
 	}
+}
+
+// postMessage decodes a message and queues it for the broker.
+func postMessage[T any](l *leader, body []byte, handle func(T, time.Time)) error {
+	var m T
+	if err := link.Decode(body, &m); err != nil {
+		return err
+	}
+	l.post(func(now time.Time) { handle(m, now) })
 	return nil
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,17 +42,18 @@
 		endWatch := g.path.watchRequest(attemptCtx, a.server)
 		defer endWatch()
 	}
+	if a.relay == "" {
+		g.countBackoffSend(a.server, sendsRequest)
+	}
 	httpResponse, err := g.exchange(attemptCtx, k, a) //nolint:bodyclose // readBuffered closes it
 	res := response{}
-	var report backend.Report
+	status, report := g.readReport(httpResponse, err)
+	if a.relay == "" {
+		g.observeBackoff(a.server, status, report, sendsRequest)
+	}
 	if err == nil {
-		report = g.options.Dialect.Report(httpResponse.Header)
 		res, err = g.readResponse(attemptCtx, k, httpResponse, a)
 	}
-	var refused *backend.RefusedError
-	if errors.As(err, &refused) {
-		report = refused.Report
-	}
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(attemptCtx), errPathLost) {
 		err = verdict.Wrap(err, verdict.Of(err), http.StatusBadGateway, codePathLost, "backend server %s", a.server.Address)
 	}
@@ -66,6 +67,20 @@
 	return res, err
 }
 
+// readReport returns the status and the server's report of a response, or of the refusal that
+// is the cause of an error; the status is 0 if there is neither.
+func (g *Gateway) readReport(res *http.Response, err error) (status int, report backend.Report) {
+	var refused *backend.RefusedError
+	switch {
+	case err == nil:
+		return res.StatusCode, g.options.Dialect.Report(res.Header)
+	case errors.As(err, &refused):
+		return refused.Status, refused.Report
+	default:
+		return 0, backend.Report{}
+	}
+}
+
 // attemptContext returns the context of an attempt. If the path to the servers is lost in
 // silence, it ends an attempt that this entry sends itself and that may be repeated: its
 // response will not arrive before the path is restored.
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -46,6 +46,10 @@
 	// recordLimit is called with what the response to a check says about the server's
 	// request limit.
 	recordLimit func(*server, *broker.LimitReport, broker.LimitSource, time.Time)
+	// onSend is called before a check is sent to a server, and onResponse with the status
+	// and the report of the response.
+	onSend     func(*server)
+	onResponse func(*server, int, backend.Report)
 	// path records responses and silent servers.
 	path    *pathMonitor
 	started time.Time
@@ -227,6 +231,7 @@
 	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
 		path = index.Service(s.Service).HealthPath
 	}
+	c.onSend(s)
 	httpResponse, err := x.Exchange(ctx, s.endpoint, &backend.Attempt{ //nolint:bodyclose // discardBody closes it
 		Method: http.MethodGet, Target: path, Host: s.Address, Header: http.Header{},
 		ExpectServer: s.ID, Deadline: time.Now().Add(checkTimeout), NewConnection: newConnection,
@@ -235,8 +240,10 @@
 	switch {
 	case err == nil:
 		res := checkResponse{httpResponse.StatusCode, c.dialect.Report(httpResponse.Header)}
+		c.onResponse(s, res.status, res.report)
 		return res, discardBody(httpResponse)
 	case errors.As(err, &refused):
+		c.onResponse(s, refused.Status, refused.Report)
 		return checkResponse{refused.Status, refused.Report}, err
 	default:
 		return checkResponse{}, err
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -162,6 +162,7 @@
 		before.Close()
 	}
 	c.session.resendPath(c.subscribedPath)
+	c.session.reportBackoffs(c.session.view.activeBackoffs(time.Now()))
 	c.session.log.Info().Str("event", "broker_found").Str("address", c.address).Uint64("term", w.Term).Send()
 	c.session.onStateChange()
 	c.search.end()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,6 +39,7 @@
 	notRunHeader = "Test-Not-Run"
 	paceHeader   = "Pace"
 	limitHeader  = "Limit"
+	retryHeader  = "Retry-After"
 )
 
 // testDialect returns a dialect with its own header names.
@@ -49,7 +50,11 @@
 		Report: func(h http.Header) backend.Report {
 			pace, _ := strconv.Atoi(h.Get(paceHeader))
 			limit, err := strconv.ParseFloat(h.Get(limitHeader), 64)
-			return backend.Report{Cold: -1, KeepAlive: 9 * time.Second, Pace: pace, Limited: err == nil, RequestLimit: limit}
+			retryAfter, _ := strconv.ParseFloat(h.Get(retryHeader), 64)
+			return backend.Report{
+				Cold: -1, KeepAlive: 9 * time.Second, Pace: pace, Limited: err == nil, RequestLimit: limit,
+				RetryAfter: time.Duration(retryAfter * float64(time.Second)),
+			}
 		},
 	}
 }
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -108,15 +108,16 @@
 	ctx := k.request.Context()
 	g.view.startRequest(a.server)
 	usable, _ := g.path.contexts()
+	g.countBackoffSend(a.server, sendsRequest)
 	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
 		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, MayStart: a.mayStart, DialContext: usable,
 	})
 	res := response{}
-	var report backend.Report
+	status, report := g.readReport(httpResponse, err)
+	g.observeBackoff(a.server, status, report, sendsRequest)
 	if err == nil {
-		report = g.options.Dialect.Report(httpResponse.Header)
 		res, err = g.readResponse(ctx, k, httpResponse, a)
 	}
 	g.observePath(a.server, err)
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -274,6 +274,18 @@
 	}
 }
 
+// reportBackoffs tells the broker which servers want no requests of this entry.
+func (s *session) reportBackoffs(backoffs []broker.Backoff) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn == nil {
+		return
+	}
+	for _, b := range backoffs {
+		_ = s.conn.Send(protocol.KindBackoff, b)
+	}
+}
+
 // reportSamples sends results of health checks to the broker.
 func (s *session) reportSamples(samples []broker.Sample) {
 	s.mu.Lock()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -54,11 +54,13 @@
 	entries int
 	// relays are the entries that may relay requests without a broker.
 	relays []protocol.Relay
+	// backoffs are the servers that want nothing of this entry for a time.
+	backoffs backoffs
 }
 
 // newView returns a view without a configuration.
 func newView(decode func([]byte) (*route.Configuration, error), regions map[string]string) *view {
-	return &view{decode: decode, regions: regions, servers: map[uint32]*server{}, configured: make(chan struct{})}
+	return &view{decode: decode, regions: regions, servers: map[uint32]*server{}, configured: make(chan struct{}), backoffs: backoffs{}}
 }
 
 // configuration returns the configuration in force, or nil before the first.
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -47,6 +47,9 @@
 	KindPath
 	// KindRelays lists the entries that may relay requests without a broker.
 	KindRelays
+	// KindBackoff tells the broker that a backend server wants no requests of an entry for
+	// a time. Control hosts that don't know it ignore it.
+	KindBackoff
 )
 
 // ControlHost is a control host in a [Directory].
