Send servers nothing while they ask an entry to pause

Servers that turned an entry away with 503 and Retry-After got up to 8 requests of the same entry in the time for which they had asked for none. Cause: the time was read by nobody. The broker learned only that a request was refused, which makes the server dearer for all entries for some seconds, so that it was granted again under load; an entry without a broker avoided it for a second. Change: entries keep the time for each server and check it right before the first byte of each attempt, also of relayed ones. They tell the broker, which grants them other servers and relays, and tell a new broker when they connect. A request for which all servers back off for longer than it may wait is refused at once, with the time at which the first one wants requests again; each entry adds a random part. Checks go on unless a server names a time in the response to one. The test of waits filled the slots from another region, whose asks wait for their own region; it now fills them from its own, with the same checks. Why it works: each way by which a request reaches a server ends in an entry that knows the time, whatever the broker knows.

--- a/bench/soak/cut_test.go
+++ b/bench/soak/cut_test.go
@@ -76,6 +76,16 @@
 	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
 }
 
+// cut begins or ends the cut of entries.
+func (h *harness) cut(form int32, entries ...int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, entry := range entries {
+		h.cuts[entry].Store(form)
+		h.cutChangedAt[entry] = time.Now()
+	}
+}
+
 // cutEntries cuts one or two of the entries off from all backend servers for a time, in
 // one of the forms.
 func cutEntries(h *harness, _ []*server, end time.Time) {
@@ -83,11 +93,9 @@
 	for time.Now().Before(end) {
 		form := 1 + int32(random.IntN(int(cutForms-1)))
 		first, second := random.IntN(entryCount), random.IntN(entryCount)
-		h.cuts[first].Store(form)
-		h.cuts[second].Store(form)
+		h.cut(form, first, second)
 		time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
-		h.cuts[first].Store(cutNone)
-		h.cuts[second].Store(cutNone)
+		h.cut(cutNone, first, second)
 		time.Sleep(time.Duration(300+random.IntN(2000)) * time.Millisecond)
 	}
 }
@@ -144,12 +152,10 @@
 	}
 	h.waitUntilServed()
 	for form := cutSilent; form < cutForms; form++ {
-		h.cuts[0].Store(form)
-		h.cuts[1].Store(form)
+		h.cut(form, 0, 1)
 		time.Sleep(cutDetection)
 		served := h.firstAttempts(t, fmt.Sprint("cut", form), 60)
-		h.cuts[0].Store(cutNone)
-		h.cuts[1].Store(cutNone)
+		h.cut(cutNone, 0, 1)
 		h.waitUntilServed()
 		cut, others := served[0]+served[1], served[2]+served[3]
 		t.Logf("form %d: entries that were cut off served %d of 120 requests, the others %d of 120", form, cut, others)
--- a/bench/soak/server_test.go
+++ b/bench/soak/server_test.go
@@ -66,7 +66,12 @@
 	fault        atomic.Int32
 	// limit is the request limit that the server names.
 	limit requestLimit
-	ended chan struct{}
+	// backoff is what the server asks entries for that it turns away.
+	backoff backoff
+	// origins maps the address of each connection of the proxy to the server to the number
+	// of the entry that it forwards.
+	origins sync.Map
+	ended   chan struct{}
 }
 
 // Faults that a proxy injects.
@@ -114,6 +119,9 @@
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	if s.backoff.turnsAway(s.harness, s.id, s.originOf(r), w) {
+		return
+	}
 	if limit := s.limit.arrive(); limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
@@ -141,6 +149,14 @@
 	_, _ = io.WriteString(w, expectedAnswer(id, r.URL.Path, body))
 }
 
+// originOf returns the number of the entry that sent a request, or -1.
+func (s *server) originOf(r *http.Request) int {
+	if entry, known := s.origins.Load(r.RemoteAddr); known {
+		return entry.(int)
+	}
+	return -1
+}
+
 // proxy accepts connections and forwards them to the server, subject to the current
 // fault.
 func (s *server) proxy() {
@@ -179,6 +195,8 @@
 		reset(c)
 		return
 	}
+	s.origins.Store(b.LocalAddr().String(), entry)
+	defer s.origins.Delete(b.LocalAddr().String())
 	defer func() { _ = b.Close() }()
 	defer func() { _ = c.Close() }()
 	go func() {
--- a/bench/soak/world_test.go
+++ b/bench/soak/world_test.go
@@ -43,8 +43,8 @@
 	settings, data            string
 	command                   *exec.Cmd
 	done                      chan struct{}
-	// lastSignalAt is when the process last received a signal.
-	lastSignalAt time.Time
+	// lastDisruptedAt is when the process last received a signal other than SIGHUP.
+	lastDisruptedAt time.Time
 }
 
 // harness runs the processes of one seed and records what callers and backend
@@ -69,6 +69,8 @@
 	logs               *os.File
 	// cuts are the forms in which entries are cut off from all backend servers.
 	cuts [entryCount]atomic.Int32
+	// cutChangedAt is when the cut of each entry last began or ended.
+	cutChangedAt [entryCount]time.Time
 }
 
 // request is one request as its caller saw it.
@@ -190,7 +192,9 @@
 	h.checkMemory(p)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p.lastSignalAt = time.Now()
+	if s != syscall.SIGHUP {
+		p.lastDisruptedAt = time.Now()
+	}
 	_ = p.command.Process.Signal(s)
 }
 
--- a/broker/backoff_test.go
+++ b/broker/backoff_test.go
@@ -203,9 +203,9 @@
 	check(w.ask("e1", nil))
 	w.granted("e2", nil)
 
-	w = newTestBroker(t, "a", "b")
+	w = newTestBroker(t, "a", "a")
 	for range 4 {
-		w.granted("e2", nil)
+		w.granted("e1", nil)
 	}
 	if o := w.ask("e1", nil); o.Grant != nil || o.Refusal != nil {
 		t.Fatalf("reply %+v, want none", o)
@@ -213,3 +213,77 @@
 	pauseAll(w)
 	check(w.onlyOutput())
 }
+
+// TestRequestWaitsForAShortBackoff checks that a request waits for servers that back off for
+// less than it may wait.
+func TestRequestWaitsForAShortBackoff(t *testing.T) {
+	w := newTestBroker(t, "a")
+	w.SetBackoff("e1", Backoff{ServerID: "server0", Millis: 50}, w.now)
+	if o := w.ask("e1", nil); o.Grant != nil || o.Refusal != nil {
+		t.Fatalf("reply %+v, want none yet", o)
+	}
+	w.now = w.now.Add(60 * time.Millisecond)
+	w.Tick(w.now)
+	if o := w.onlyOutput(); o.Grant == nil {
+		t.Errorf("no grant after the backoff has ended; refusal %+v", o.Refusal)
+	}
+}
+
+// TestBackoffsOfOneRetry checks that a retry whose first server is the only one that doesn't
+// back off is refused at once.
+func TestBackoffsOfOneRetry(t *testing.T) {
+	w := newTestBroker(t, "a", "a")
+	w.SetBackoff("e1", Backoff{ServerID: "server1", Millis: 3000}, w.now)
+	first := w.granted("e1", nil)
+	w.Release("e1", Release{ID: first.Grant.ID, Outcome: Failed}, w.now)
+	o := w.ask("e1", func(a *Ask) { a.Retry, a.ExcludedServers = true, []uint32{first.Grant.Server} })
+	if o.Refusal == nil || o.Refusal.Reason != ReasonBackoff {
+		t.Errorf("reply %+v, want a refusal for backoff", o)
+	}
+}
+
+// TestNewBrokerKeepsBackoffs reports backoffs of servers before their records arrive, and
+// checks that they outlast a new connection of the entry.
+func TestNewBrokerKeepsBackoffs(t *testing.T) {
+	w := newTestBroker(t)
+	w.SetBackoff("e1", Backoff{ServerID: "server0", Millis: 3000}, w.now)
+	w.announce("server0", "a", 0)
+	w.Connect("e1", "a", nil, w.now)
+	if o := w.ask("e1", nil); o.Refusal == nil || o.Refusal.Reason != ReasonBackoff {
+		t.Errorf("reply %+v, want a refusal for backoff", o)
+	}
+}
+
+// TestBackoffEndsWithItsServer restarts a server that asked for a pause, under its identifier
+// and under another one at its address.
+func TestBackoffEndsWithItsServer(t *testing.T) {
+	for _, id := range []string{"server0", "server1"} {
+		w := newTestBroker(t, "a")
+		w.SetBackoff("e1", Backoff{ServerID: "server0", Millis: 3_600_000}, w.now)
+		w.RemoveServer("server0")
+		w.announce(id, "a", 0)
+		w.granted("e1", nil)
+	}
+}
+
+// TestRelayOfAnEntryThatBacksOff checks that a request is relayed by an entry that the server
+// wants requests of, and is refused at once if there is none.
+func TestRelayOfAnEntryThatBacksOff(t *testing.T) {
+	w := newTestBroker(t, "a")
+	for n, name := range []string{"e1", "e2", "e3"} {
+		if n == 2 {
+			w.Connect(name, "b", nil, w.now)
+		}
+		w.SetRelayAddress(name, "at "+name)
+	}
+	w.SetPath("e1", true, w.now)
+	w.SetBackoff("e1", Backoff{ServerID: "server0", Millis: 9000}, w.now)
+	w.SetBackoff("e2", Backoff{ServerID: "server0", Millis: 3000}, w.now)
+	if o := w.granted("e1", nil); o.Relay != "e3" {
+		t.Errorf("relayed by %q, want e3", o.Relay)
+	}
+	w.SetBackoff("e3", Backoff{ServerID: "server0", Millis: 5000}, w.now)
+	if o := w.ask("e1", nil); o.Refusal == nil || o.Refusal.Reason != ReasonBackoff || o.Refusal.RetryMillis < 3000 || o.Refusal.RetryMillis > 4000 {
+		t.Errorf("reply %+v, want a refusal until e2 may send again", o)
+	}
+}
--- a/broker/message.go
+++ b/broker/message.go
@@ -85,6 +85,9 @@
 	// ReasonNoRelay means that the entry reaches no backend server, and that no other
 	// entry may relay the request.
 	ReasonNoRelay Reason = "no_relay"
+	// ReasonBackoff means that all servers that may run the request want none of this entry
+	// for longer than the request may wait.
+	ReasonBackoff Reason = "backoff"
 )
 
 // Outcome says how a granted request ended.
--- a/broker/place.go
+++ b/broker/place.go
@@ -157,8 +157,13 @@
 
 // eligible reports whether a server may run a request once it has a free slot.
 func (b *Broker) eligible(s *Server, w *pendingAsk, now time.Time) bool {
-	return s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && (w.entry.pathLost || !w.entry.avoids(s.Number, now)) &&
-		!slices.Contains(w.ask.ExcludedServers, s.Number) &&
+	return s.usable(now) && b.allowed(s, w) && (w.entry.pathLost || !w.entry.avoids(s.Number, now)) &&
+		b.backoffUntil(s, w, now).IsZero()
+}
+
+// allowed reports whether the operators and the request itself allow a server.
+func (b *Broker) allowed(s *Server, w *pendingAsk) bool {
+	return !b.zonesOut[s.Record.AvailabilityZone] && !slices.Contains(w.ask.ExcludedServers, s.Number) &&
 		(len(w.ask.HomeRegions) == 0 || slices.Contains(w.ask.HomeRegions, s.Region))
 }
 
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -130,6 +130,9 @@
 		b.refuse(p, e, a.Seq, ReasonNoRelay, now)
 		return
 	}
+	if b.refuseForBackoff(p, w, now) {
+		return
+	}
 	if len(p.queue) == 0 && b.tryGrant(p, b.serversWithFreeSlot(p, now), w, now) {
 		return
 	}
@@ -227,6 +230,9 @@
 		if len(candidates) > 0 && b.tryGrant(p, candidates, w, now) {
 			return true
 		}
+		if b.refuseForBackoff(p, w, now) {
+			return true
+		}
 		if now.Before(w.waitUntil) {
 			return false
 		}
@@ -275,15 +281,20 @@
 	return best
 }
 
-// refuse refuses an ask and sends the time at which a slot is expected to be
-// free. That time has a random part, so that the callers don't return all at
-// once.
+// refuse refuses an ask and sends the time at which a slot is expected to be free.
 func (b *Broker) refuse(p *pool, e *entry, seq uint64, reason Reason, now time.Time) {
-	all, busy, capacity := p.slotUsage(b, now)
+	all, _, capacity := p.slotUsage(b, now)
 	wait := p.expectedDelay(capacity, len(p.queue)+1)
 	if all == 0 {
 		wait = p.serviceTime
 	}
+	b.refuseFor(p, e, seq, reason, wait, now)
+}
+
+// refuseFor refuses an ask and sends the time after which it may be repeated. That time has
+// a random part, so that the callers don't return all at once.
+func (b *Broker) refuseFor(p *pool, e *entry, seq uint64, reason Reason, wait time.Duration, now time.Time) {
+	all, busy, _ := p.slotUsage(b, now)
 	wait += time.Duration(b.options.Random.Float64() * float64(p.serviceTime))
 	b.outputs = append(b.outputs, Output{Entry: e.name, Refusal: &Refusal{
 		Seq: seq, RetryMillis: int(wait.Milliseconds()), Reason: reason,
--- a/broker/relay.go
+++ b/broker/relay.go
@@ -64,12 +64,13 @@
 	return false
 }
 
-// relayFor returns the cheapest entry that may relay a request to a server, or nil.
+// relayFor returns the cheapest entry that may relay a request to a server, or nil. The
+// server may want no requests of some of them.
 func (b *Broker) relayFor(w *pendingAsk, s *Server, now time.Time) *entry {
 	var best *entry
 	lowest := 0.0
 	for _, e := range b.entries {
-		if !e.mayRelay(w, now) {
+		if !e.mayRelay(w, now) || e.backsOff(s, now) {
 			continue
 		}
 		cost := float64(relayedWeight*e.relayed) + b.options.Random.Float64()
--- a/broker/server.go
+++ b/broker/server.go
@@ -120,8 +120,12 @@
 
 // usable reports whether the server may get requests, regardless of its free
 // slots.
-func (s *Server) usable(now time.Time) bool {
-	if s.removed || s.Record.Unconfirmed || s.Record.Draining || now.Before(s.ejectedUntil) {
+func (s *Server) usable(now time.Time) bool { return s.alive(now) && !now.Before(s.ejectedUntil) }
+
+// alive reports whether the server may get requests, regardless of its free slots and of
+// failures.
+func (s *Server) alive(now time.Time) bool {
+	if s.removed || s.Record.Unconfirmed || s.Record.Draining {
 		return false
 	}
 	heard := s.Record.LastHeartbeat
--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -45,7 +45,7 @@
 // not asked, and are used only if there are no others. It returns nil if no server may
 // be used.
 func (a *aloneChooser) choose(ctx context.Context, service string, r *route.Route, avoid []uint32) *server {
-	unlimited, limited := a.view.candidatesWithoutBroker(service, r, a.zone, avoid, time.Now())
+	unlimited, limited := a.view.candidatesWithoutBroker(service, r, a.zone, avoid, false, time.Now())
 	var best *server
 	switch len(unlimited) {
 	case 0:
@@ -165,17 +165,17 @@
 // candidatesWithoutBroker returns the backend servers that may be used without a broker,
 // the cheapest first: at most maxCandidates that name no request limit, and all that name
 // one. They are warm, since nothing counts what other entries send to cold ones, and at
-// most half of their slots are in use by this entry, since other entries use them too.
-func (v *view) candidatesWithoutBroker(service string, r *route.Route, zone string, avoid []uint32, now time.Time) (unlimited, limited []*server) {
+// most half of their slots are in use by this entry, since other entries use them too. They
+// don't back off, unless another entry relays the request: they may want that one's.
+func (v *view) candidatesWithoutBroker(service string, r *route.Route, zone string, avoid []uint32, relayed bool, now time.Time) (unlimited, limited []*server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	costs := map[*server]float64{}
 	var usable []*server
 	for _, s := range v.servers {
-		allowed := s.Service == service && r.AllowedIn(s.region) && !v.isZoneOut(s.AvailabilityZone) &&
-			!now.Before(s.coldUntil) && !now.Before(s.avoidUntil) && !slices.Contains(avoid, s.Number) &&
-			s.running < (s.Slots+1)/2
-		if !allowed {
+		usableNow := v.allowed(s, service, r, avoid, now) && !now.Before(s.avoidUntil) && s.running < (s.Slots+1)/2 &&
+			(relayed || !v.backoffs.active(s.ID, now))
+		if !usableNow {
 			continue
 		}
 		cost := float64(s.running) + rand.Float64()
@@ -200,6 +200,13 @@
 	return unlimited, limited
 }
 
+// allowed reports whether the configuration, the operators and the request itself allow a server
+// without a broker, regardless of its load and failures. The caller holds the lock.
+func (v *view) allowed(s *server, service string, r *route.Route, avoid []uint32, now time.Time) bool {
+	return s.Service == service && r.AllowedIn(s.region) && !v.isZoneOut(s.AvailabilityZone) &&
+		!now.Before(s.coldUntil) && !slices.Contains(avoid, s.Number)
+}
+
 // startRequest counts a request that starts on a server.
 func (v *view) startRequest(s *server) {
 	v.mu.Lock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,9 @@
 // mayStart reports whether the attempt may still begin.
 func (a *attempt) mayStart() bool { return a.startBy == 0 || boottime.Now() <= a.startBy }
 
+// maySend reports whether this entry itself may begin to send an attempt to its server.
+func (g *Gateway) maySend(a *attempt) bool { return a.mayStart() && !g.view.backsOff(a.server) }
+
 // sendAttempt sends the request to one server, reads its complete response and
 // releases the grant.
 func (g *Gateway) sendAttempt(ctx context.Context, k *callerRequest, a *attempt) (response, error) {
@@ -108,6 +111,7 @@
 		return g.exchangeByRelay(ctx, a, attempt)
 	}
 	attempt.ExpectServer, attempt.BeforeBodyEnd = a.server.ID, g.beforeEnd(ctx, k, a)
+	attempt.MayStart = func() bool { return g.maySend(a) }
 	attempt.DialContext, _ = g.path.contexts()
 	return g.exchanger.Exchange(ctx, a.server.endpoint, attempt)
 }
--- a/gateway/backoff.go
+++ b/gateway/backoff.go
@@ -2,16 +2,31 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagerbarrow/backend"
 	"tanagerbarrow/broker"
+	"tanagerbarrow/protocol"
+	"tanagerbarrow/route"
+)
+
+// The constants of backoffs.
+const (
+	// maxBackoff bounds the time for which a server may ask to be left alone, so that a
+	// mistaken value doesn't keep it out for ever.
+	maxBackoff = 24 * time.Hour
+	// backoffSpreadShare and maxBackoffSpread bound the random part that each entry adds, so
+	// that a server that has asked all entries at once doesn't get them back at once.
+	backoffSpreadShare = 0.125
+	maxBackoffSpread   = time.Second
 )
 
-// maxBackoff bounds the time for which a server may ask to be left alone, so that a
-// mistaken value doesn't keep it out for ever.
-const maxBackoff = 24 * time.Hour
+// errChecksPaused means that a server wants no health checks of this entry now.
+var errChecksPaused = errors.New("the server wants no health checks now")
 
 // sendKind is what an entry sends to a server.
 type sendKind string
@@ -25,6 +40,9 @@
 // backoff is the time for which a server wants nothing of this entry.
 type backoff struct {
 	until time.Time
+	// checksUntil is until when it wants no health checks either: it has said so in the
+	// response to one.
+	checksUntil time.Time
 	// sent counts what this entry sent to the server meanwhile.
 	sent map[sendKind]int
 }
@@ -33,29 +51,41 @@
 // nothing for a time. It reads no clock.
 type backoffs map[string]*backoff
 
-// ask records that a server wants nothing for a time from now on, and returns the time in
-// which it does; 0 if that is unchanged. A shorter time doesn't end a longer one, since
-// responses may overtake each other.
-func (b backoffs) ask(server string, wait time.Duration, now time.Time) time.Duration {
-	wait = min(wait, maxBackoff)
+// ask records that a server wants nothing until a time, as the response to a request or a
+// check said, and reports whether that is later than known before. A shorter time doesn't
+// end a longer one, since responses may overtake each other.
+func (b backoffs) ask(server string, kind sendKind, until time.Time) (later bool) {
 	known := b[server]
-	if wait <= 0 || known != nil && !now.Add(wait).After(known.until) {
-		return 0
-	}
 	if known == nil {
 		known = &backoff{sent: map[sendKind]int{}}
 		b[server] = known
 	}
-	known.until = now.Add(wait)
-	return wait
+	if kind == sendsCheck && until.After(known.checksUntil) {
+		known.checksUntil = until
+	}
+	if !until.After(known.until) {
+		return false
+	}
+	known.until = until
+	return true
 }
 
-// active reports whether a server wants nothing now.
+// active reports whether a server wants no requests now.
 func (b backoffs) active(server string, now time.Time) bool {
 	known := b[server]
 	return known != nil && now.Before(known.until)
 }
 
+// backoffOf returns for how long a server that responds with a status wants nothing of this
+// entry, with a random part; random is from 0 to 1. It returns 0 if the server doesn't say so.
+func backoffOf(status int, report backend.Report, random float64) time.Duration {
+	if status != http.StatusServiceUnavailable {
+		return 0
+	}
+	wait := min(report.RetryAfter, maxBackoff)
+	return wait + time.Duration(random*min(backoffSpreadShare*float64(wait), float64(maxBackoffSpread)))
+}
+
 // activeBackoffs returns the servers that want no requests of this entry now.
 func (v *view) activeBackoffs(now time.Time) []broker.Backoff {
 	v.mu.Lock()
@@ -69,33 +99,108 @@
 	return active
 }
 
-// backoffOf returns for how long a server that responds with a status wants nothing of this
-// entry; 0 if it doesn't say so.
-func backoffOf(status int, report backend.Report) time.Duration {
-	if status != http.StatusServiceUnavailable {
-		return 0
+// backsOff reports whether a server wants no requests of this entry now.
+func (v *view) backsOff(s *server) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.backoffs.active(s.ID, time.Now())
+}
+
+// checksPause returns for how much longer a server wants no health checks of this entry.
+func (v *view) checksPause(s *server, now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.checksPauseLocked(s, now)
+}
+
+// checksPauseLocked is checksPause for a caller that holds the lock.
+func (v *view) checksPauseLocked(s *server, now time.Time) time.Duration {
+	if known := v.backoffs[s.ID]; known != nil {
+		return max(0, known.checksUntil.Sub(now))
+	}
+	return 0
+}
+
+// backingOff returns the numbers of the servers of a service that want no requests of this
+// entry now.
+func (v *view) backingOff(service string, now time.Time) []uint32 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var numbers []uint32
+	for _, s := range v.servers {
+		if s.Service == service && v.backoffs.active(s.ID, now) {
+			numbers = append(numbers, s.Number)
+		}
+	}
+	return numbers
+}
+
+// serviceBackoff returns the time until the first server that may be used without a broker
+// wants requests of this entry again; 0 unless all of them back off.
+func (v *view) serviceBackoff(service string, r *route.Route, avoid []uint32, now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	first := time.Duration(0)
+	for _, s := range v.servers {
+		if !v.allowed(s, service, r, avoid, now) {
+			continue
+		}
+		if !v.backoffs.active(s.ID, now) {
+			return 0
+		}
+		if left := v.backoffs[s.ID].until.Sub(now); first == 0 || left < first {
+			first = left
+		}
 	}
-	return report.RetryAfter
+	return first
+}
+
+// endBackoffs ends the backoffs of servers that the broker has removed or that have restarted.
+// The numbers of another term say nothing about that. The caller holds the lock.
+func (v *view) endBackoffs(m protocol.View) {
+	for _, n := range m.Removed {
+		if s := v.servers[n]; s != nil {
+			delete(v.backoffs, s.ID)
+		}
+	}
+	if m.Full && v.serversTerm != v.term {
+		return
+	}
+	for _, s := range m.Servers {
+		if v.backoffs[s.ID] != nil && v.isRestarted(s) {
+			delete(v.backoffs, s.ID)
+		}
+	}
+}
+
+// isRestarted reports whether the server of an identifier has another number than before. The
+// caller holds the lock.
+func (v *view) isRestarted(next protocol.Server) bool {
+	for _, s := range v.servers {
+		if s.ID == next.ID && s.Number != next.Number {
+			return true
+		}
+	}
+	return false
 }
 
 // observeBackoff records what a response of a server says about its wish to be left alone.
 func (g *Gateway) observeBackoff(s *server, status int, report backend.Report, kind sendKind) {
-	wait := backoffOf(status, report)
+	wait := backoffOf(status, report, rand.Float64())
 	if wait == 0 {
 		return
 	}
-	now := time.Now()
 	g.view.mu.Lock()
 	isNew := g.view.backoffs[s.ID] == nil
-	wait = g.view.backoffs.ask(s.ID, wait, now)
+	later := g.view.backoffs.ask(s.ID, kind, time.Now().Add(wait))
 	g.view.mu.Unlock()
-	if wait == 0 {
+	if !later {
 		return
 	}
-	g.session.reportBackoffs([]broker.Backoff{{ServerID: s.ID, Millis: int(wait.Milliseconds())}})
+	g.session.reportBackoffs([]broker.Backoff{{ServerID: s.ID, Millis: int(wait.Milliseconds()) + 1}})
 	g.options.Metrics.GetOrCreateCounter("tanagerbarrow_backoffs_total").Inc()
 	g.failureLog.Warn().Str("event", "server_backoff").Str("server", s.ID).Str("service", s.Service).
-		Str("source", string(kind)).Dur("for_ms", wait).Send()
+		Str("source", string(kind)).Dur("retry_after_ms", report.RetryAfter).Dur("for_ms", wait).Send()
 	if isNew {
 		time.AfterFunc(wait, func() { g.endBackoff(s) })
 	}
--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +15,9 @@
 
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/backend"
+	"tanagerbarrow/broker"
+	"tanagerbarrow/protocol"
 	"tanagerbarrow/route"
 )
 
@@ -50,7 +55,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	for _, line := range []string{
-		`"event":"server_backoff","server":"server-1","service":"s","source":"request","for_ms":200`,
+		`"event":"server_backoff","server":"server-1","service":"s","source":"request","retry_after_ms":200,"for_ms":2`,
 		`"event":"server_backoff_ended","server":"server-1","service":"s","requests":0,"checks":0`,
 	} {
 		if strings.Count(log.String(), line) != 1 {
@@ -117,14 +122,14 @@
 			}
 			return s
 		}
-		chooser.view.backoffs.ask("i-1", 3*time.Second, time.Now())
+		chooser.view.backoffs.ask("i-1", sendsRequest, time.Now().Add(3*time.Second))
 		for range 30 {
 			if s := choose(); s == nil || s.ID == "i-1" {
 				t.Fatalf("chose %+v", s)
 			}
 		}
-		chooser.view.backoffs.ask("i-2", 10*time.Second, time.Now())
-		chooser.view.backoffs.ask("i-3", 10*time.Second, time.Now())
+		chooser.view.backoffs.ask("i-2", sendsRequest, time.Now().Add(10*time.Second))
+		chooser.view.backoffs.ask("i-3", sendsRequest, time.Now().Add(10*time.Second))
 		if s := choose(); s != nil {
 			t.Errorf("chose %+v while all servers pause", s)
 		}
@@ -134,3 +139,128 @@
 		}
 	})
 }
+
+// TestAloneRequestIsRefusedDuringBackoff sends a request without a broker while all servers want
+// none of this entry: it is refused with the time at which the first one may be asked.
+func TestAloneRequestIsRefusedDuringBackoff(t *testing.T) {
+	f, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "x") }))
+	f.mu.Lock()
+	f.decide = func(broker.Ask) (uint32, *broker.Refusal, bool) { return 0, nil, true }
+	f.mu.Unlock()
+	e.view.backoffs.ask("server-1", sendsRequest, time.Now().Add(20*time.Second))
+	res, text := e.send(t, http.MethodPost, "/once/x", "b")
+	after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	if res.StatusCode != http.StatusServiceUnavailable || text != "backoff\n" || after < 15 || after > 20 {
+		t.Errorf("got %d %q, Retry-After %v", res.StatusCode, text, after)
+	}
+}
+
+// TestRelayedRefusalConcernsTheRelay checks that the relay backs off if a server asks for it in
+// the response to a relayed request, and that the entry whose request it was doesn't.
+func TestRelayedRefusalConcernsTheRelay(t *testing.T) {
+	var arrivals atomic.Int32
+	f, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) {
+		arrivals.Add(1)
+		respond(c, r, 503, notRunHeader+": 1\r\n"+retryHeader+": 30\r\n", "")
+	}))
+	relay := startRelay(t, f)
+	for range 3 {
+		e.send(t, http.MethodGet, "/safe/x", "")
+	}
+	s := e.view.server(1)
+	if e.view.backsOff(s) || !relay.view.backsOff(s) || arrivals.Load() != 1 {
+		t.Errorf("entry backs off: %v, relay: %v, %d requests", e.view.backsOff(s), relay.view.backsOff(s), arrivals.Load())
+	}
+}
+
+// TestNewBrokerHearsOfBackoffs checks what an entry tells the broker of a pause, at once and
+// after the connection was lost.
+func TestNewBrokerHearsOfBackoffs(t *testing.T) {
+	f, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) {
+		respond(c, r, 503, notRunHeader+": 1\r\n"+retryHeader+": 30\r\n", "")
+	}))
+	e.send(t, http.MethodPost, "/once/x", "b")
+	f.mu.Lock()
+	f.conns[0].Close()
+	f.mu.Unlock()
+	var got []broker.Backoff
+	for range 200 {
+		f.mu.Lock()
+		got = slices.Clone(f.backoffs)
+		f.mu.Unlock()
+		if len(got) >= 2 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if len(got) != 2 {
+		t.Fatalf("told %v, want two", got)
+	}
+	for _, b := range got {
+		if b.ServerID != "server-1" || b.Millis < 25_000 || b.Millis > 32_000 {
+			t.Errorf("told %+v", b)
+		}
+	}
+}
+
+// TestChecksPauseIfACheckSaysSo checks that health checks go on while a server wants no
+// requests, and end if it says so in the response to one.
+func TestChecksPauseIfACheckSaysSo(t *testing.T) {
+	for kind, want := range map[sendKind]int32{sendsRequest: 1, sendsCheck: 0} {
+		var checks atomic.Int32
+		_, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) {
+			checks.Add(1)
+			respond(c, r, 200, "", "")
+		}))
+		s := e.view.server(1)
+		e.observeBackoff(s, http.StatusServiceUnavailable, backend.Report{RetryAfter: time.Minute}, kind)
+		err := e.checker.probe(t.Context(), s)
+		if checks.Load() != want || (err == nil) != (want == 1) {
+			t.Errorf("after a pause asked for in response to a %s: %d checks, error %v", kind, checks.Load(), err)
+		}
+		if targets := e.view.probeTargets(time.Now()); len(targets) != int(want) {
+			t.Errorf("%d servers to probe, want %d", len(targets), want)
+		}
+	}
+}
+
+// TestBackoffEndsWithTheServer applies views in which a server that asked for a pause stays, is
+// removed, restarts, or has the number of another broker.
+func TestBackoffEndsWithTheServer(t *testing.T) {
+	at := func(number uint32) []protocol.Server {
+		return []protocol.Server{{Number: number, ID: "i", Service: "s", Address: "10.0.0.1:80", AvailabilityZone: "a"}}
+	}
+	for name, c := range map[string]struct {
+		next  protocol.View
+		term  uint64
+		lasts bool
+	}{
+		"stays":              {protocol.View{Servers: at(1)}, 1, true},
+		"removed":            {protocol.View{Removed: []uint32{1}}, 1, false},
+		"restarts":           {protocol.View{Servers: at(2), Removed: []uint32{1}}, 1, false},
+		"new connection":     {protocol.View{Full: true, Servers: at(1)}, 1, true},
+		"restarts meanwhile": {protocol.View{Full: true, Servers: at(2)}, 1, false},
+		"another broker":     {protocol.View{Full: true, Servers: at(2)}, 2, true},
+	} {
+		v := newView(nil, nil)
+		now := time.Now()
+		v.beginTerm(1)
+		v.applyView(protocol.View{Full: true, Servers: at(1)}, now)
+		v.backoffs.ask("i", sendsRequest, now.Add(time.Minute))
+		v.beginTerm(c.term)
+		v.applyView(c.next, now)
+		if lasts := v.backoffs.active("i", now); lasts != c.lasts {
+			t.Errorf("%s: the backoff lasts: %v", name, lasts)
+		}
+	}
+}
+
+// TestEntriesReturnSpreadOut checks that the entries that a server asked to pause at one time
+// don't return at one time, and none early.
+func TestEntriesReturnSpreadOut(t *testing.T) {
+	report := backend.Report{RetryAfter: 4 * time.Second}
+	first, last := backoffOf(503, report, 0), backoffOf(503, report, 1)
+	if first < report.RetryAfter || last-first < 400*time.Millisecond || last-first > time.Second {
+		t.Errorf("return from %v to %v", first, last)
+	}
+}
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -144,6 +144,10 @@
 			t.nextCheck = now + defaultCheckInterval
 			continue
 		}
+		if pause := c.view.checksPause(s, time.Now()); pause > 0 {
+			t.nextCheck = now + pause
+			continue
+		}
 		t.inProgress = true
 		go c.check(ctx, t, s)
 	}
@@ -159,6 +163,10 @@
 	defer endWatch()
 	sample := broker.Sample{Server: s.Number, ColdMillis: -1, Running: -1}
 	res, err := c.requestHealth(ctx, c.exchanger, s, false)
+	if errors.Is(err, errChecksPaused) {
+		c.postpone(t)
+		return
+	}
 	c.observePath(s, res, err)
 	sample.Healthy, sample.Responded = res.status == http.StatusOK, res.status != 0
 	sample.WrongServer = res.status == http.StatusMisdirectedRequest || (res.report.ServerID != "" && res.report.ServerID != s.ID)
@@ -227,6 +235,9 @@
 // new one if newConnection is set. A server that refuses the request yields both a
 // response and an error.
 func (c *checker) requestHealth(ctx context.Context, x *backend.Exchanger, s *server, newConnection bool) (checkResponse, error) {
+	if c.view.checksPause(s, time.Now()) > 0 {
+		return checkResponse{}, errChecksPaused
+	}
 	path := "/health"
 	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
 		path = index.Service(s.Service).HealthPath
@@ -261,6 +272,13 @@
 	return err
 }
 
+// postpone schedules the next check of a server that was not checked.
+func (c *checker) postpone(t *checkTarget) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.inProgress, t.nextCheck = false, time.Since(c.started)+defaultCheckInterval
+}
+
 // finishCheck records a check's result, schedules the next check and reports the
 // sample to the broker if it changed or the last report is too old.
 func (c *checker) finishCheck(t *checkTarget, sample broker.Sample, limit broker.RequestLimit, sentAt, receivedAt time.Duration) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -124,7 +125,7 @@
 	case refusal != nil:
 		return response{retryAfter: time.Duration(refusal.RetryMillis) * time.Millisecond},
 			verdict.New(verdict.NotRun, http.StatusServiceUnavailable, string(refusal.Reason),
-				"the broker refused: %d waiting, %d of %d slots in use", refusal.Waiting, refusal.Busy, refusal.Slots)
+				"no backend server may run the request: %d waiting, %d of %d slots in use", refusal.Waiting, refusal.Busy, refusal.Slots)
 	case ctx.Err() != nil:
 		return response{retryAfter: defaultRetryAfter},
 			verdict.Wrap(ctx.Err(), verdict.NotRun, http.StatusServiceUnavailable, backend.CodeDeadline, "no slot became free before the deadline")
@@ -152,9 +153,11 @@
 	maxQueueWait := time.Duration(max(queueWaitObjectiveShare*float64(objective), queueWaitDeadlineShare*float64(left)))
 	startBy := boottime.Now() + maxQueueWait + grantStartTimeout
 	r, err := g.session.ask(ctx, ask, maxQueueWait)
-	if err == nil && r.grant != nil && r.grant.Relay == "" && g.path.lost() {
-		// The grant is older than the broker's knowledge that the path is lost.
+	if err == nil && r.grant != nil && !g.mayUse(r.grant) {
+		// The grant is older than what the broker knows by now, or the broker is of a build
+		// that doesn't know of backoffs.
 		g.session.release(broker.Release{ID: r.grant.ID, Outcome: broker.Unused})
+		ask.ExcludedServers = slices.Concat(avoid, g.view.backingOff(k.service, time.Now()))
 		r, err = g.session.ask(ctx, ask, maxQueueWait)
 	}
 	k.brokerWait += time.Since(now)
@@ -179,12 +182,22 @@
 	}
 	a := g.chooseAlone(ctx, k, avoid)
 	if a == nil {
-		return nil, nil, err
+		return nil, g.backoffRefusal(k, avoid), err
 	}
 	g.placedAlone.Inc()
 	return a, nil, nil
 }
 
+// mayUse reports whether this entry may use a grant: not to send a request itself while its path
+// to the servers is lost, or to a server that wants none of it.
+func (g *Gateway) mayUse(grant *broker.Grant) bool {
+	if grant.Relay != "" {
+		return true
+	}
+	s := g.view.server(grant.Server)
+	return !g.path.lost() && (s == nil || !g.view.backsOff(s))
+}
+
 // chooseAlone chooses a server without a broker and, if this entry reaches no server, an
 // entry that relays the request. It returns nil if there is none.
 func (g *Gateway) chooseAlone(ctx context.Context, k *callerRequest, avoid []uint32) *attempt {
@@ -197,6 +210,16 @@
 	return nil
 }
 
+// backoffRefusal returns the refusal of a request for which all servers that may be used without a
+// broker back off; nil if that isn't so.
+func (g *Gateway) backoffRefusal(k *callerRequest, avoid []uint32) *broker.Refusal {
+	wait := g.view.serviceBackoff(k.service, k.route, avoid, time.Now())
+	if wait == 0 || g.path.lost() {
+		return nil
+	}
+	return &broker.Refusal{Reason: broker.ReasonBackoff, RetryMillis: int(wait.Milliseconds()) + 1}
+}
+
 // sendMillis returns how long the host's link takes to send a body, in
 // milliseconds, or 0 if the link's rate is not known.
 func (g *Gateway) sendMillis(bytes int) int {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -76,6 +76,8 @@
 	// relay is the address of the entry that relays granted requests; empty for none.
 	relay string
 	paths []protocol.Path
+	// backoffs are the pauses that the entries have reported.
+	backoffs []broker.Backoff
 }
 
 // listen opens a listener that is closed at the end of the test.
@@ -144,6 +146,10 @@
 		var p protocol.Path
 		_ = link.Decode(body, &p)
 		f.paths = append(f.paths, p)
+	case protocol.KindBackoff:
+		var b broker.Backoff
+		_ = link.Decode(body, &b)
+		f.backoffs = append(f.backoffs, b)
 	case protocol.KindRelease:
 		var r broker.Release
 		_ = link.Decode(body, &r)
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -229,8 +229,10 @@
 	m.mu.Lock()
 	due := m.state.probeDue(known, time.Now())
 	m.mu.Unlock()
-	if due {
-		targets := m.view.probeTargets()
+	if !due {
+		return
+	}
+	if targets := m.view.probeTargets(time.Now()); len(targets) > 0 {
 		m.recordProbe(m.probeAny(ctx, targets[:min(len(targets), probedServers)]))
 	}
 }
@@ -308,14 +310,18 @@
 }
 
 // probeTargets returns the known servers in random order, those of different zones
-// first. Servers that name a request limit come last.
-func (v *view) probeTargets() []*server {
+// first. Servers that name a request limit come last, and those that want no health checks of
+// this entry are left out.
+func (v *view) probeTargets(now time.Time) []*server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	zones := map[string]int{}
 	ranked := map[int][]*server{}
 	highest := 0
 	for _, s := range v.servers {
+		if v.checksPauseLocked(s, now) > 0 {
+			continue
+		}
 		rank := zones[s.AvailabilityZone]
 		if s.limit.Limited() {
 			rank += len(v.servers)
@@ -335,7 +341,8 @@
 }
 
 // nearestServers returns the given server and the nearest others of an availability zone,
-// its region or elsewhere, as many as asked for. Those that name a request limit are spared.
+// its region or elsewhere, as many as asked for. Those that name a request limit or want no health
+// checks of this entry are spared.
 func (v *view) nearestServers(zone string, first *server, count int) []*server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -353,7 +360,7 @@
 	}
 	var nearest []*server
 	for _, s := range v.servers {
-		if !s.limit.Limited() {
+		if !s.limit.Limited() && v.checksPauseLocked(s, time.Now()) == 0 {
 			nearest = append(nearest, s)
 		}
 	}
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -100,7 +100,7 @@
 	}
 	v.servers[0].limit = broker.RequestLimit{PerSecond: 1, Sources: broker.LimitFromChecks}
 	for range 20 {
-		targets := v.probeTargets()
+		targets := v.probeTargets(time.Now())
 		zones := map[string]bool{}
 		for _, s := range targets[:3] {
 			zones[s.AvailabilityZone] = true
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -124,7 +124,7 @@
 // a random relay that may hold the request, and the cheapest server, if possible of the
 // relay's region. It returns nil if there is none.
 func (v *view) relayFor(service string, r *route.Route, zone string, avoid []uint32, now time.Time) *attempt {
-	unlimited, _ := v.candidatesWithoutBroker(service, r, zone, avoid, now)
+	unlimited, _ := v.candidatesWithoutBroker(service, r, zone, avoid, true, now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	relays := slices.DeleteFunc(slices.Clone(v.relays), func(p protocol.Relay) bool {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -112,7 +112,7 @@
 	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
-		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, MayStart: a.mayStart, DialContext: usable,
+		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, MayStart: func() bool { return g.maySend(a) }, DialContext: usable,
 	})
 	res := response{}
 	status, report := g.readReport(httpResponse, err)
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // The constants of long uploads. The pace of a machine is the time that work takes
@@ -44,7 +46,8 @@
 		defer func() { k.endHeldNanos.Store(int64(time.Since(bodyArrived))) }()
 		maxWait := time.Duration(paceWaitShare * float64(k.route.LatencyObjective))
 		for waitEnd := time.Now().Add(maxWait); ctx.Err() == nil && time.Now().Before(waitEnd); {
-			if pace, err := g.checker.readPace(ctx, a.server); err == nil && pace <= maxSteadyPace {
+			pace, err := g.checker.readPace(ctx, a.server)
+			if err == nil && pace <= maxSteadyPace || errors.Is(err, errChecksPaused) {
 				return
 			}
 			sleep(ctx, paceCheckInterval)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -48,8 +48,10 @@
 	// configured is closed once there is a configuration.
 	configured           chan struct{}
 	encodedConfiguration []byte
-	servers              map[uint32]*server
-	zonesOut             []string
+	// servers are the known servers by their numbers, which serversTerm's broker gave them.
+	servers     map[uint32]*server
+	serversTerm uint64
+	zonesOut    []string
 	// entries is the number of entries that the broker last knew.
 	entries int
 	// relays are the entries that may relay requests without a broker.
@@ -152,10 +154,11 @@
 func (v *view) applyView(m protocol.View, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.endBackoffs(m)
 	v.zonesOut, v.entries = m.ZonesOut, m.Entries
 	previous := v.servers
 	if m.Full {
-		v.servers = map[uint32]*server{}
+		v.servers, v.serversTerm = map[uint32]*server{}, v.term
 	}
 	for _, n := range m.Removed {
 		delete(v.servers, n)
