Log and report servers that say that they leave

Cause: nothing in the logs told whether a server has said in a response that it leaves, to whom, and what that entry sends to it afterwards. Change: entries decode Server-Leaving of each response, log it and each request that they send to such a server later, and tell the broker in a new kind of message, which control hosts of earlier builds ignore. Nothing acts on it yet. The tests of platform, gateway and coordinator pass with the race detector.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -52,6 +52,8 @@
 	// RetryAfter is the time after which the server wants to be asked again; 0 if not
 	// reported.
 	RetryAfter time.Duration
+	// Leaving says that the server leaves for good: it wants no further requests.
+	Leaving bool
 }
 
 // RefusedError is the cause of an error with [CodeRefused].
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -343,6 +343,13 @@
 	}
 }
 
+// logLeaving logs that an entry has learned from a server that it leaves.
+func (l *leader) logLeaving(entry string, m protocol.Leaving) {
+	s := l.broker.Servers()[m.Number]
+	known := m.Term == l.term && s != nil && s.Record.ID == m.ServerID
+	l.log.Info().Str("event", "leaving_reported").Str("entry", entry).Str("server", m.ServerID).Bool("in_use", known).Send()
+}
+
 // removeLostServers removes the servers that have been silent for
 // lostServerTimeout.
 func (l *leader) removeLostServers(now time.Time) {
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -150,6 +150,8 @@
 		return postMessage(l, body, func(m protocol.Path, now time.Time) { l.changePath(name, m, now) })
 	case protocol.KindBackoff:
 		return postMessage(l, body, func(m broker.Backoff, now time.Time) { l.broker.SetBackoff(name, m, now) })
+	case protocol.KindLeaving:
+		return postMessage(l, body, func(m protocol.Leaving, _ time.Time) { l.logLeaving(name, m) })
 	case protocol.KindSamples:
 		return postMessage(l, body, func(m []broker.Sample, now time.Time) { l.samples(name, m, now) })
 	default:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,12 +48,14 @@
 	if a.relay == "" {
 		g.countBackoffSend(a.server, sendsRequest)
 	}
+	g.logLateRequest(k, a.server)
 	httpResponse, err := g.exchange(attemptCtx, k, a) //nolint:bodyclose // readBuffered closes it
 	res := response{}
 	status, report := g.readReport(httpResponse, err)
 	if a.relay == "" {
 		g.observeBackoff(a.server, status, report, sendsRequest)
 	}
+	g.observeLeaving(a.server, status, report, sendsRequest)
 	if err == nil {
 		res, err = g.readResponse(attemptCtx, k, httpResponse, a)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,7 @@
 	g.checker.onSend = func(s *server) { g.countBackoffSend(s, sendsCheck) }
 	g.checker.onResponse = func(s *server, status int, report backend.Report) {
 		g.observeBackoff(s, status, report, sendsCheck)
+		g.observeLeaving(s, status, report, sendsCheck)
 	}
 	g.relayExchanger = newRelayExchanger(o.Dialect)
 	g.path = newPathMonitor(g.view, o.Settings.Host.AvailabilityZone, o.Log)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -33,13 +33,14 @@
 
 // The headers of the tests' dialect.
 const (
-	idHeader     = "Test-Id"
-	timeHeader   = "Test-Timeout"
-	expectHeader = "Test-Expect"
-	notRunHeader = "Test-Not-Run"
-	paceHeader   = "Pace"
-	limitHeader  = "Limit"
-	retryHeader  = "Retry-After"
+	idHeader      = "Test-Id"
+	timeHeader    = "Test-Timeout"
+	expectHeader  = "Test-Expect"
+	notRunHeader  = "Test-Not-Run"
+	paceHeader    = "Pace"
+	limitHeader   = "Limit"
+	retryHeader   = "Retry-After"
+	leavingHeader = "Leaving"
 )
 
 // testDialect returns a dialect with its own header names.
@@ -53,6 +54,7 @@
 			retryAfter, _ := strconv.ParseFloat(h.Get(retryHeader), 64)
 			return backend.Report{
 				Cold: -1, KeepAlive: 9 * time.Second, Pace: pace, Limited: err == nil, RequestLimit: limit,
+				Leaving:    h.Get(leavingHeader) != "",
 				RetryAfter: time.Duration(retryAfter * float64(time.Second)),
 			}
 		},
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -109,6 +109,7 @@
 	g.view.startRequest(a.server)
 	usable, _ := g.path.contexts()
 	g.countBackoffSend(a.server, sendsRequest)
+	g.logLateRequest(k, a.server)
 	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
@@ -117,6 +118,7 @@
 	res := response{}
 	status, report := g.readReport(httpResponse, err)
 	g.observeBackoff(a.server, status, report, sendsRequest)
+	g.observeLeaving(a.server, status, report, sendsRequest)
 	if err == nil {
 		res, err = g.readResponse(ctx, k, httpResponse, a)
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -286,6 +286,15 @@
 	}
 }
 
+// reportLeaving tells the broker that a server has said that it leaves.
+func (s *session) reportLeaving(serverID string, d departure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		_ = s.conn.Send(protocol.KindLeaving, d.wire(serverID))
+	}
+}
+
 // reportSamples sends results of health checks to the broker.
 func (s *session) reportSamples(samples []broker.Sample) {
 	s.mu.Lock()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -58,11 +58,13 @@
 	relays []protocol.Relay
 	// backoffs are the servers that want nothing of this entry for a time.
 	backoffs backoffs
+	// departures are the servers that have said that they leave.
+	departures departures
 }
 
 // newView returns a view without a configuration.
 func newView(decode func([]byte) (*route.Configuration, error), regions map[string]string) *view {
-	return &view{decode: decode, regions: regions, servers: map[uint32]*server{}, configured: make(chan struct{}), backoffs: backoffs{}}
+	return &view{decode: decode, regions: regions, servers: map[uint32]*server{}, configured: make(chan struct{}), backoffs: backoffs{}, departures: departures{}}
 }
 
 // configuration returns the configuration in force, or nil before the first.
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -50,6 +50,9 @@
 	// KindBackoff tells the broker that a backend server wants no requests of an entry for
 	// a time. Control hosts that don't know it ignore it.
 	KindBackoff
+	// KindLeaving tells the broker that a backend server has said in a response that it leaves.
+	// Control hosts that don't know it ignore it.
+	KindLeaving
 )
 
 // ControlHost is a control host in a [Directory].
@@ -116,6 +119,18 @@
 	Stopping bool
 }
 
+// Leaving says that a backend server has said in a response that it leaves.
+type Leaving struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// ServerID is the server's identifier.
+	ServerID string
+	// Number is the server's number, and Term the term of the broker that gave it. Another
+	// start of the server has another number.
+	Number uint32
+	Term   uint64
+}
+
 // Relay is an entry that may relay requests of others.
 type Relay struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
