Send servers nothing after they say that they leave

A server that had said in its responses that it leaves, while its heartbeats said that it is ready, got requests of the same entries to its end; callers saw errors only once it was gone. Entries and the broker knew of a leaving only by the server's heartbeats and deregistration, which entries without a broker don't hear of. Change: an entry that receives such a response, also as a relay or in a check, sends that start of the server nothing more, with a broker or without one, and tells the broker. Reports name the server by its number in the term, so that another start under its identifier is used. Under the next broker an entry keeps to what it knows for 30 s. The soak has one server more, which says that it leaves in its answers alone. Why it works: the entry itself keeps to what it has passed on, whatever the broker knows.

--- a/bench/soak/server_test.go
+++ b/bench/soak/server_test.go
@@ -68,6 +68,8 @@
 	limit requestLimit
 	// backoff is what the server asks entries for that it turns away.
 	backoff backoff
+	// leaving says that the server leaves and says so in all answers.
+	leaving atomic.Bool
 	// origins maps the address of each connection of the proxy to the server to the number
 	// of the entry that it forwards.
 	origins sync.Map
@@ -114,11 +116,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/health" {
 		return
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	s.harness.checkDeparture(s.id, id, s.originOf(r))
 	if s.backoff.turnsAway(s.harness, s.id, s.originOf(r), w) {
 		return
 	}
@@ -286,6 +292,7 @@
 // leave announces that the server leaves until that is acknowledged, and closes the
 // proxy after the time to drain.
 func (s *server) leave() {
+	s.leaving.Store(true)
 	for range 40 {
 		if s.harness.callControl("instances.heartbeat&of="+s.id, s.heartbeat("draining")) {
 			s.leaveAckedAt.Store(time.Now().UnixNano())
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -71,7 +71,7 @@
 		t.Fatal("the first configuration was not acknowledged")
 	}
 	var servers []*server
-	for n := range 6 {
+	for n := range 7 {
 		s, err := newServer(h, n, zones[n%len(zones)])
 		if err != nil {
 			t.Fatal(err)
@@ -85,7 +85,7 @@
 		callers.Go(func() { h.sendRequests(n, stop) })
 	}
 	end := time.Now().Add(*runLength)
-	for _, inject := range []func(*harness, []*server, time.Time){injectEntryFaults, injectControlFaults, injectProxyFaults, changeSystem, nameLimits, cutEntries, askForPauses} {
+	for _, inject := range []func(*harness, []*server, time.Time){injectEntryFaults, injectControlFaults, injectProxyFaults, changeSystem, nameLimits, cutEntries, askForPauses, announceLeaving} {
 		injectors.Go(func() { inject(h, servers, end) })
 	}
 	injectors.Wait()
@@ -170,8 +170,10 @@
 	r.Header.Set("Deadline-Milliseconds", "1500")
 	client := &http.Client{Timeout: 2500 * time.Millisecond, Transport: h.client.Transport}
 	status := 0
+	h.recordSent(id)
 	res, err := client.Do(r)
 	if err == nil {
+		h.recordDeparture(entry, res)
 		status = res.StatusCode
 		var text []byte
 		text, err = io.ReadAll(res.Body)
--- a/bench/soak/strike_test.go
+++ b/bench/soak/strike_test.go
@@ -85,11 +85,11 @@
 }
 
 // injectProxyFaults sets a fault on the proxy of one backend server for a time. The
-// last two servers never have a fault.
+// last three servers never have a fault.
 func injectProxyFaults(h *harness, servers []*server, end time.Time) {
 	random := h.randomFor(3)
 	for time.Now().Before(end) {
-		s := servers[random.IntN(len(servers)-2)]
+		s := servers[random.IntN(len(servers)-3)]
 		s.fault.Store(int32(random.IntN(int(faultCount))))
 		time.Sleep(time.Duration(200+random.IntN(1500)) * time.Millisecond)
 		s.fault.Store(faultNone)
--- a/bench/soak/world_test.go
+++ b/bench/soak/world_test.go
@@ -66,7 +66,11 @@
 	ackedVersion       int
 	sentConfigurations map[int]string
 	requests           map[string]request
-	logs               *os.File
+	// sentAt is when each request was sent, and departures when each entry first passed on
+	// an answer by which a server leaves.
+	sentAt     map[string]time.Time
+	departures map[passedOn]time.Time
+	logs       *os.File
 	// cuts are the forms in which entries are cut off from all backend servers.
 	cuts [entryCount]atomic.Int32
 	// cutChangedAt is when the cut of each entry last began or ended.
@@ -96,6 +100,7 @@
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 99)), binary: binary, folder: t.TempDir(),
 		basePort: 20000 + int(seed%400)*20, executions: &executionLog{byRequest: map[string][]execution{}}, evacuatedSince: map[string]time.Time{},
 		sentConfigurations: map[int]string{}, requests: map[string]request{},
+		sentAt: map[string]time.Time{}, departures: map[passedOn]time.Time{},
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 20}},
 	}
 	h.logs, _ = os.Create(filepath.Join(h.folder, "logs.jsonl"))
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -51,6 +51,8 @@
 	crashSuspects map[uint64]*crashSuspect
 	// adoptedLimits holds, by server identifier, the limits of servers without a record.
 	adoptedLimits map[string]adoptedLimit
+	// left holds the starts of servers that have left in this broker's term.
+	left map[serverStart]bool
 
 	lastServerNumber uint32
 	lastGrantID      uint64
@@ -88,8 +90,8 @@
 		options: o, zonesOut: map[string]bool{}, pools: map[string]*pool{},
 		servers: map[uint32]*Server{}, byID: map[string]*Server{}, entries: map[string]*entry{},
 		grants: map[uint64]*grant{}, crashSuspects: map[uint64]*crashSuspect{}, lastGrantID: o.GrantIDBase,
-		adoptedLimits: map[string]adoptedLimit{},
-		index:         route.NewIndex(&route.Configuration{}),
+		adoptedLimits: map[string]adoptedLimit{}, left: map[serverStart]bool{},
+		index: route.NewIndex(&route.Configuration{}),
 	}
 }
 
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -343,13 +343,6 @@
 	}
 }
 
-// logLeaving logs that an entry has learned from a server that it leaves.
-func (l *leader) logLeaving(entry string, m protocol.Leaving) {
-	s := l.broker.Servers()[m.Number]
-	known := m.Term == l.term && s != nil && s.Record.ID == m.ServerID
-	l.log.Info().Str("event", "leaving_reported").Str("entry", entry).Str("server", m.ServerID).Bool("in_use", known).Send()
-}
-
 // removeLostServers removes the servers that have been silent for
 // lostServerTimeout.
 func (l *leader) removeLostServers(now time.Time) {
@@ -382,7 +375,7 @@
 
 // announce passes a record to the broker and sends the change to the entries.
 func (l *leader) announce(r registry.Record, o registry.Outcome, replaced *registry.Record, now time.Time) {
-	if l.c.isDeregistered(r.ID, r.Started) {
+	if l.c.isDeregistered(r.ID, r.Started) || l.broker.HasLeft(r.ID, r.Started) {
 		return
 	}
 	var gone []uint32
--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -174,7 +174,7 @@
 	var usable []*server
 	for _, s := range v.servers {
 		usableNow := v.allowed(s, service, r, avoid, now) && !now.Before(s.avoidUntil) && s.running < (s.Slots+1)/2 &&
-			(relayed || !v.backoffs.active(s.ID, now))
+			v.willing(s, relayed, now)
 		if !usableNow {
 			continue
 		}
@@ -200,11 +200,12 @@
 	return unlimited, limited
 }
 
-// allowed reports whether the configuration, the operators and the request itself allow a server
-// without a broker, regardless of its load and failures. The caller holds the lock.
+// allowed reports whether the configuration, the operators, the request and the server itself allow
+// the use of the server without a broker, regardless of its load, failures and backoff. The
+// caller holds the lock.
 func (v *view) allowed(s *server, service string, r *route.Route, avoid []uint32, now time.Time) bool {
 	return s.Service == service && r.AllowedIn(s.region) && !v.isZoneOut(s.AvailabilityZone) &&
-		!now.Before(s.coldUntil) && !slices.Contains(avoid, s.Number)
+		!now.Before(s.coldUntil) && !slices.Contains(avoid, s.Number) && !v.departures.leaving(s.ID, v.serversTerm, now)
 }
 
 // startRequest counts a request that starts on a server.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,8 +31,10 @@
 // mayStart reports whether the attempt may still begin.
 func (a *attempt) mayStart() bool { return a.startBy == 0 || boottime.Now() <= a.startBy }
 
-// maySend reports whether this entry itself may begin to send an attempt to its server.
-func (g *Gateway) maySend(a *attempt) bool { return a.mayStart() && !g.view.backsOff(a.server) }
+// maySend reports whether this entry may begin to send an attempt, itself or to a relay.
+func (g *Gateway) maySend(a *attempt) bool {
+	return a.mayStart() && g.view.wantsRequests(a.server, a.relay != "")
+}
 
 // sendAttempt sends the request to one server, reads its complete response and
 // releases the grant.
@@ -48,7 +50,6 @@
 	if a.relay == "" {
 		g.countBackoffSend(a.server, sendsRequest)
 	}
-	g.logLateRequest(k, a.server)
 	httpResponse, err := g.exchange(attemptCtx, k, a) //nolint:bodyclose // readBuffered closes it
 	res := response{}
 	status, report := g.readReport(httpResponse, err)
@@ -107,13 +108,12 @@
 	attempt := &backend.Attempt{
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
-		RequestID: k.id, Deadline: k.deadline, TransferLimit: k.transferLimit(), MayStart: a.mayStart,
+		RequestID: k.id, Deadline: k.deadline, TransferLimit: k.transferLimit(), MayStart: func() bool { return g.maySend(a) },
 	}
 	if a.relay != "" {
 		return g.exchangeByRelay(ctx, a, attempt)
 	}
 	attempt.ExpectServer, attempt.BeforeBodyEnd = a.server.ID, g.beforeEnd(ctx, k, a)
-	attempt.MayStart = func() bool { return g.maySend(a) }
 	attempt.DialContext, _ = g.path.contexts()
 	return g.exchanger.Exchange(ctx, a.server.endpoint, attempt)
 }
--- a/gateway/backoff.go
+++ b/gateway/backoff.go
@@ -10,7 +10,6 @@
 
 	"tanagerbarrow/backend"
 	"tanagerbarrow/broker"
-	"tanagerbarrow/protocol"
 	"tanagerbarrow/route"
 )
 
@@ -99,13 +98,6 @@
 	return active
 }
 
-// backsOff reports whether a server wants no requests of this entry now.
-func (v *view) backsOff(s *server) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.backoffs.active(s.ID, time.Now())
-}
-
 // checksPause returns for how much longer a server wants no health checks of this entry.
 func (v *view) checksPause(s *server, now time.Time) time.Duration {
 	v.mu.Lock()
@@ -121,14 +113,14 @@
 	return 0
 }
 
-// backingOff returns the numbers of the servers of a service that want no requests of this
-// entry now.
-func (v *view) backingOff(service string, now time.Time) []uint32 {
+// unwilling returns the numbers of the servers of a service that want no requests of this entry
+// now.
+func (v *view) unwilling(service string, now time.Time) []uint32 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var numbers []uint32
 	for _, s := range v.servers {
-		if s.Service == service && v.backoffs.active(s.ID, now) {
+		if s.Service == service && !v.willing(s, false, now) {
 			numbers = append(numbers, s.Number)
 		}
 	}
@@ -155,35 +147,6 @@
 	return first
 }
 
-// endBackoffs ends the backoffs of servers that the broker has removed or that have restarted.
-// The numbers of another term say nothing about that. The caller holds the lock.
-func (v *view) endBackoffs(m protocol.View) {
-	for _, n := range m.Removed {
-		if s := v.servers[n]; s != nil {
-			delete(v.backoffs, s.ID)
-		}
-	}
-	if m.Full && v.serversTerm != v.term {
-		return
-	}
-	for _, s := range m.Servers {
-		if v.backoffs[s.ID] != nil && v.isRestarted(s) {
-			delete(v.backoffs, s.ID)
-		}
-	}
-}
-
-// isRestarted reports whether the server of an identifier has another number than before. The
-// caller holds the lock.
-func (v *view) isRestarted(next protocol.Server) bool {
-	for _, s := range v.servers {
-		if s.ID == next.ID && s.Number != next.Number {
-			return true
-		}
-	}
-	return false
-}
-
 // observeBackoff records what a response of a server says about its wish to be left alone.
 func (g *Gateway) observeBackoff(s *server, status int, report backend.Report, kind sendKind) {
 	wait := backoffOf(status, report, rand.Float64())
--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -168,8 +168,9 @@
 		e.send(t, http.MethodGet, "/safe/x", "")
 	}
 	s := e.view.server(1)
-	if e.view.backsOff(s) || !relay.view.backsOff(s) || arrivals.Load() != 1 {
-		t.Errorf("entry backs off: %v, relay: %v, %d requests", e.view.backsOff(s), relay.view.backsOff(s), arrivals.Load())
+	entryMaySend, relayMaySend := e.view.wantsRequests(s, false), relay.view.wantsRequests(s, false)
+	if !entryMaySend || relayMaySend || arrivals.Load() != 1 {
+		t.Errorf("the entry may send: %v, the relay: %v, %d requests", entryMaySend, relayMaySend, arrivals.Load())
 	}
 }
 
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -142,6 +142,9 @@
 	}
 	c.session.view.applyView(m, time.Now())
 	if m.Full {
+		for id, d := range c.session.view.currentDepartures() {
+			c.session.reportLeaving(id, d)
+		}
 		c.session.onView()
 	}
 	return nil
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -155,9 +155,9 @@
 	r, err := g.session.ask(ctx, ask, maxQueueWait)
 	if err == nil && r.grant != nil && !g.mayUse(r.grant) {
 		// The grant is older than what the broker knows by now, or the broker is of a build
-		// that doesn't know of backoffs.
+		// that doesn't know what servers say.
 		g.session.release(broker.Release{ID: r.grant.ID, Outcome: broker.Unused})
-		ask.ExcludedServers = slices.Concat(avoid, g.view.backingOff(k.service, time.Now()))
+		ask.ExcludedServers = slices.Concat(avoid, g.view.unwilling(k.service, time.Now()))
 		r, err = g.session.ask(ctx, ask, maxQueueWait)
 	}
 	k.brokerWait += time.Since(now)
@@ -189,13 +189,11 @@
 }
 
 // mayUse reports whether this entry may use a grant: not to send a request itself while its path
-// to the servers is lost, or to a server that wants none of it.
+// to the servers is lost, or to a server that wants none.
 func (g *Gateway) mayUse(grant *broker.Grant) bool {
-	if grant.Relay != "" {
-		return true
-	}
+	relayed := grant.Relay != ""
 	s := g.view.server(grant.Server)
-	return !g.path.lost() && (s == nil || !g.view.backsOff(s))
+	return (relayed || !g.path.lost()) && (s == nil || g.view.wantsRequests(s, relayed))
 }
 
 // chooseAlone chooses a server without a broker and, if this entry reaches no server, an
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -80,6 +80,8 @@
 	paths []protocol.Path
 	// backoffs are the pauses that the entries have reported.
 	backoffs []broker.Backoff
+	// departures are the servers of which entries have reported that they leave.
+	departures []protocol.Leaving
 }
 
 // listen opens a listener that is closed at the end of the test.
@@ -152,6 +154,10 @@
 		var b broker.Backoff
 		_ = link.Decode(body, &b)
 		f.backoffs = append(f.backoffs, b)
+	case protocol.KindLeaving:
+		var l protocol.Leaving
+		_ = link.Decode(body, &l)
+		f.departures = append(f.departures, l)
 	case protocol.KindRelease:
 		var r broker.Release
 		_ = link.Decode(body, &r)
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -10,10 +10,10 @@
 
 // departure is what an entry knows of a server that has said in a response that it leaves.
 type departure struct {
-	// number is the server's number in the term of a broker.
+	// number is the server's number in a broker's term; 0 if that is not known.
 	number uint32
 	term   uint64
-	// announcedAt is when the server first said so, to this entry.
+	// announcedAt is when the server first said so in that term, to this entry.
 	announcedAt time.Time
 }
 
@@ -21,6 +21,16 @@
 // leave. It reads no clock.
 type departures map[string]departure
 
+// departureRetention is how long a departure outlasts the term in which the server has announced
+// it. By then the next broker knows of it; the server may have restarted meanwhile.
+const departureRetention = 30 * time.Second
+
+// leaving reports whether a server has said that it leaves, given the term of the known servers.
+func (d departures) leaving(server string, term uint64, now time.Time) bool {
+	known, ok := d[server]
+	return ok && (known.term == term || now.Sub(known.announcedAt) < departureRetention)
+}
+
 // saysItLeaves reports whether a response is the expected server's and says that it leaves.
 func saysItLeaves(s *server, status int, report backend.Report) bool {
 	otherServer := status == http.StatusMisdirectedRequest || report.ServerID != "" && report.ServerID != s.ID
@@ -32,29 +42,42 @@
 	if !saysItLeaves(s, status, report) {
 		return
 	}
-	g.view.mu.Lock()
-	d, known := g.view.departures[s.ID]
-	if !known {
-		d = departure{number: s.Number, term: g.view.serversTerm, announcedAt: time.Now()}
-		g.view.departures[s.ID] = d
-	}
-	g.view.mu.Unlock()
-	if known {
+	d, isNew := g.view.recordDeparture(s, time.Now())
+	if !isNew {
 		return
 	}
 	g.session.reportLeaving(s.ID, d)
 	g.log.Info().Str("event", "server_leaving").Str("server", s.ID).Str("service", s.Service).Str("source", string(kind)).Send()
 }
 
-// logLateRequest logs a request that is sent to a server after it has said that it leaves.
-func (g *Gateway) logLateRequest(k *callerRequest, s *server) {
-	g.view.mu.Lock()
-	d, known := g.view.departures[s.ID]
-	g.view.mu.Unlock()
-	if known {
-		g.failureLog.Warn().Str("event", "sent_to_leaving_server").Str("request_id", k.id).Str("server", s.ID).
-			Dur("after_ms", time.Since(d.announcedAt)).Send()
+// recordDeparture records that a server leaves, and reports whether that was not known in this
+// term.
+func (v *view) recordDeparture(s *server, now time.Time) (d departure, isNew bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if known, ok := v.departures[s.ID]; ok && known.term == v.serversTerm {
+		return known, false
+	}
+	d = departure{announcedAt: now}
+	// The request may have been sent under the broker before, whose numbers mean nothing now.
+	if current := v.servers[s.Number]; current != nil && current.ID == s.ID {
+		d.number, d.term = s.Number, v.serversTerm
+	}
+	v.departures[s.ID] = d
+	return d, true
+}
+
+// currentDepartures returns the departures that servers of the current view have announced.
+func (v *view) currentDepartures() departures {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	current := departures{}
+	for id, d := range v.departures {
+		if d.term == v.serversTerm {
+			current[id] = d
+		}
 	}
+	return current
 }
 
 // wire encodes a departure for the broker.
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -4,12 +4,18 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
 	"tanagerbarrow/backend"
+	"tanagerbarrow/fleet"
+	"tanagerbarrow/protocol"
 	"tanagerbarrow/route"
 )
 
@@ -77,27 +83,101 @@
 	}
 }
 
-// TestAloneChoiceLeavesOutLeavingServers chooses without a broker among servers that have said in
-// the response to a request or a check that they leave, and others.
+// idleEntry returns an entry that runs no goroutines, with the given view.
+func idleEntry(v *view) *Gateway {
+	g := New(Options{
+		Settings: &fleet.Settings{Bounds: fleet.DefaultBounds()}, Dialect: testDialect(), Log: zerolog.Nop(), Metrics: metrics.NewSet(),
+	})
+	g.view = v
+	return g
+}
+
+// TestAloneChoiceLeavesOutLeavingServers replays a day without a broker on which servers begin to
+// leave and say so in their responses: none of them is chosen after its first such response.
 func TestAloneChoiceLeavesOutLeavingServers(t *testing.T) {
-	_, e := setUp(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
 	synctest.Test(t, func(t *testing.T) {
 		idle := loadOf{slots: 2, pace: 100}
-		chooser := newAloneChooser([]loadOf{idle, idle, idle})
-		e.view = chooser.view
-		leaving := backend.Report{Leaving: true}
-		e.observeLeaving(chooser.view.server(1), http.StatusOK, leaving, sendsRequest)
-		e.observeLeaving(chooser.view.server(3), http.StatusServiceUnavailable, leaving, sendsCheck)
-		for range 30 {
+		chooser := newAloneChooser([]loadOf{idle, idle, idle, idle})
+		g := idleEntry(chooser.view)
+		leavesAt := map[uint32]time.Duration{1: 3 * time.Second, 2: 10 * time.Second, 3: 15 * time.Second}
+		left := map[uint32]bool{}
+		started := time.Now()
+		for time.Since(started) < 20*time.Second {
 			s := chooser.choose(t.Context(), "s", &route.Route{}, nil)
-			if s == nil || s.Number != 2 {
-				t.Fatalf("chose %+v", s)
+			if s == nil || left[s.Number] {
+				t.Fatalf("after %v chose %+v", time.Since(started), s)
 			}
+			at, leaves := leavesAt[s.Number]
+			report := backend.Report{Leaving: leaves && time.Since(started) >= at}
+			left[s.Number] = report.Leaving
+			g.observeLeaving(s, http.StatusOK, report, sendsRequest)
 			chooser.view.finishRequest(s, false, time.Now())
+			time.Sleep(50 * time.Millisecond)
+		}
+		if len(left) != 4 || !left[1] || !left[2] || !left[3] {
+			t.Errorf("left: %v", left)
 		}
-		e.observeLeaving(chooser.view.server(2), http.StatusOK, leaving, sendsRequest)
+		g.observeLeaving(chooser.view.server(4), http.StatusServiceUnavailable, backend.Report{Leaving: true}, sendsCheck)
 		if s := chooser.choose(t.Context(), "s", &route.Route{}, nil); s != nil {
 			t.Errorf("chose %+v after all have said that they leave", s)
 		}
 	})
 }
+
+// TestDeparturesOutlastTheTerm checks for how long an entry keeps to what a server has said: as long
+// as its broker knows that start of the server, and for a time under the next broker.
+func TestDeparturesOutlastTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		at := func(number uint32) []protocol.Server {
+			return []protocol.Server{{Number: number, ID: "i", Service: "s", Address: "10.0.0.1:80", AvailabilityZone: "a"}}
+		}
+		v := newView(nil, nil)
+		g := idleEntry(v)
+		v.beginTerm(1)
+		v.applyView(protocol.View{Full: true, Servers: at(1)}, time.Now())
+		g.observeLeaving(v.server(1), http.StatusOK, backend.Report{Leaving: true}, sendsRequest)
+		time.Sleep(time.Hour)
+		if v.wantsRequests(v.server(1), false) {
+			t.Error("used again under the same broker")
+		}
+		v.beginTerm(2)
+		v.applyView(protocol.View{Full: true, Servers: at(7)}, time.Now())
+		if !v.wantsRequests(v.server(7), false) {
+			t.Error("not used by the next broker an hour later")
+		}
+		g.observeLeaving(v.server(7), http.StatusOK, backend.Report{Leaving: true}, sendsRequest)
+		v.beginTerm(3)
+		v.applyView(protocol.View{Full: true, Servers: at(9)}, time.Now())
+		if v.wantsRequests(v.server(9), false) {
+			t.Error("used by the next broker at once")
+		}
+		v.applyView(protocol.View{Removed: []uint32{9}, Servers: at(10)}, time.Now())
+		if !v.wantsRequests(v.server(10), false) {
+			t.Error("another start of the server is not used")
+		}
+	})
+}
+
+// TestNewConnectionRepeatsDepartures checks what an entry tells the broker of a server that leaves,
+// at once and after the connection was lost.
+func TestNewConnectionRepeatsDepartures(t *testing.T) {
+	f, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, leavingHeader+": 1\r\n", "x") }))
+	e.send(t, http.MethodGet, "/safe/x", "")
+	f.mu.Lock()
+	f.conns[0].Close()
+	f.mu.Unlock()
+	var got []protocol.Leaving
+	for range 200 {
+		f.mu.Lock()
+		got = slices.Clone(f.departures)
+		f.mu.Unlock()
+		if len(got) >= 2 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	want := protocol.Leaving{ServerID: "server-1", Number: 1, Term: 1}
+	if len(got) != 2 || got[0] != want || got[1] != want {
+		t.Errorf("told %+v, want %+v twice", got, want)
+	}
+}
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -109,7 +109,6 @@
 	g.view.startRequest(a.server)
 	usable, _ := g.path.contexts()
 	g.countBackoffSend(a.server, sendsRequest)
-	g.logLateRequest(k, a.server)
 	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -156,7 +156,7 @@
 func (v *view) applyView(m protocol.View, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.endBackoffs(m)
+	v.forgetEnded(m, now)
 	v.zonesOut, v.entries = m.ZonesOut, m.Entries
 	previous := v.servers
 	if m.Full {
--- /dev/null
+++ b/gateway/willing.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"time"
+
+	"tanagerbarrow/protocol"
+)
+
+// wantsRequests reports whether a server wants requests of this entry now or, if another entry
+// relays them, of that one.
+func (v *view) wantsRequests(s *server, relayed bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.willing(s, relayed, time.Now())
+}
+
+// willing is wantsRequests for a caller that holds the lock. A server that leaves wants no
+// requests of any entry; one that backs off may want those of the relay.
+func (v *view) willing(s *server, relayed bool, now time.Time) bool {
+	return !v.departures.leaving(s.ID, v.serversTerm, now) && (relayed || !v.backoffs.active(s.ID, now))
+}
+
+// forgetEnded forgets what servers have said that the broker has removed or that have restarted.
+// The numbers of another term say nothing about that. The caller holds the lock.
+func (v *view) forgetEnded(m protocol.View, now time.Time) {
+	for _, n := range m.Removed {
+		if s := v.servers[n]; s != nil {
+			v.forget(s.ID)
+		}
+	}
+	if m.Full {
+		v.expireDepartures(now)
+	}
+	if m.Full && v.serversTerm != v.term {
+		return
+	}
+	for _, s := range m.Servers {
+		if _, leaves := v.departures[s.ID]; (leaves || v.backoffs[s.ID] != nil) && v.isRestarted(s) {
+			v.forget(s.ID)
+		}
+	}
+}
+
+// expireDepartures forgets the departures that have outlasted their term for too long. The caller
+// holds the lock.
+func (v *view) expireDepartures(now time.Time) {
+	for id := range v.departures {
+		if !v.departures.leaving(id, v.term, now) {
+			delete(v.departures, id)
+		}
+	}
+}
+
+// forget forgets what a server has said. The caller holds the lock.
+func (v *view) forget(id string) {
+	delete(v.backoffs, id)
+	delete(v.departures, id)
+}
+
+// isRestarted reports whether the server of an identifier has another number than before. The
+// caller holds the lock.
+func (v *view) isRestarted(next protocol.Server) bool {
+	for _, s := range v.servers {
+		if s.ID == next.ID && s.Number != next.Number {
+			return true
+		}
+	}
+	return false
+}
