Resume health checks of a server that restarts during its pause

Cause: the next check was scheduled for the end of the pause, and the schedule outlives the start of the server that asked for it. The test of what a new broker hears waits until the broker has read the first report before it closes the connection; otherwise the report could be lost with it.

--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -181,19 +181,15 @@
 		respond(c, r, 503, notRunHeader+": 1\r\n"+retryHeader+": 30\r\n", "")
 	}))
 	e.send(t, http.MethodPost, "/once/x", "b")
+	count := func() int { return len(f.backoffs) }
+	f.received(1, count)
 	f.mu.Lock()
 	f.conns[0].Close()
 	f.mu.Unlock()
-	var got []broker.Backoff
-	for range 200 {
-		f.mu.Lock()
-		got = slices.Clone(f.backoffs)
-		f.mu.Unlock()
-		if len(got) >= 2 {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	f.received(2, count)
+	f.mu.Lock()
+	got := slices.Clone(f.backoffs)
+	f.mu.Unlock()
 	if len(got) != 2 {
 		t.Fatalf("told %v, want two", got)
 	}
@@ -265,3 +261,30 @@
 		t.Errorf("return from %v to %v", first, last)
 	}
 }
+
+// TestChecksResumeAfterARestart restarts a server that wanted no health checks for a minute, under
+// the same identifier.
+func TestChecksResumeAfterARestart(t *testing.T) {
+	var checks atomic.Int32
+	_, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) {
+		checks.Add(1)
+		respond(c, r, 200, "", "")
+	}))
+	s := e.view.server(1)
+	e.observeBackoff(s, http.StatusServiceUnavailable, backend.Report{RetryAfter: time.Minute}, sendsCheck)
+	e.checker.assign(protocol.CheckAssignment{Servers: []uint32{1}})
+	now := time.Since(e.checker.started)
+	e.checker.startDueChecks(t.Context(), now)
+	restarted := s.Server
+	restarted.Number = 2
+	e.view.applyView(protocol.View{Removed: []uint32{1}, Servers: []protocol.Server{restarted}}, time.Now())
+	e.checker.assign(protocol.CheckAssignment{Servers: []uint32{2}})
+	e.checker.startDueChecks(t.Context(), now+2*defaultCheckInterval)
+	for range 200 {
+		if checks.Load() > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the server was not checked after its restart")
+}
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -145,7 +145,8 @@
 			continue
 		}
 		if pause := c.view.checksPause(s, time.Now()); pause > 0 {
-			t.nextCheck = now + pause
+			// The server may restart before the pause ends.
+			t.nextCheck = now + min(pause, defaultCheckInterval)
 			continue
 		}
 		t.inProgress = true
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -165,6 +165,19 @@
 	}
 }
 
+// received waits until the broker has received n messages of a kind that count counts, at most 2 s.
+func (f *fakeBroker) received(n int, count func() int) {
+	for range 200 {
+		f.mu.Lock()
+		got := count()
+		f.mu.Unlock()
+		if got >= n {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // releases waits until n grants were released and returns all released ones.
 func (f *fakeBroker) releases(n int) []broker.Release {
 	f.t.Helper()
