Ask again if the broker has removed a granted server meanwhile

A request got 503 "no_backend_server" although other servers were free, if the broker removed the granted server before the entry had used the grant. Cause: the entry looked for the server in its view after the removal had been applied, and took its absence for an error. Change: such a grant goes back unused, and the entry asks once more. The test of repeated reports failed once: the connection was closed before the broker had read the first report; it now waits for it.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -189,11 +189,11 @@
 }
 
 // mayUse reports whether this entry may use a grant: not to send a request itself while its path
-// to the servers is lost, or to a server that wants none.
+// to the servers is lost, or to a server that wants none or that the broker has removed since.
 func (g *Gateway) mayUse(grant *broker.Grant) bool {
 	relayed := grant.Relay != ""
 	s := g.view.server(grant.Server)
-	return (relayed || !g.path.lost()) && (s == nil || g.view.wantsRequests(s, relayed))
+	return (relayed || !g.path.lost()) && s != nil && g.view.wantsRequests(s, relayed)
 }
 
 // chooseAlone chooses a server without a broker and, if this entry reaches no server, an
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"tanagerbarrow/backend"
+	"tanagerbarrow/broker"
 	"tanagerbarrow/fleet"
 	"tanagerbarrow/protocol"
 	"tanagerbarrow/route"
@@ -163,21 +164,39 @@
 func TestNewConnectionRepeatsDepartures(t *testing.T) {
 	f, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, leavingHeader+": 1\r\n", "x") }))
 	e.send(t, http.MethodGet, "/safe/x", "")
+	count := func() int { return len(f.departures) }
+	f.received(1, count)
 	f.mu.Lock()
 	f.conns[0].Close()
 	f.mu.Unlock()
-	var got []protocol.Leaving
-	for range 200 {
-		f.mu.Lock()
-		got = slices.Clone(f.departures)
-		f.mu.Unlock()
-		if len(got) >= 2 {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	f.received(2, count)
+	f.mu.Lock()
+	got := slices.Clone(f.departures)
+	f.mu.Unlock()
 	want := protocol.Leaving{ServerID: "server-1", Number: 1, Term: 1}
 	if len(got) != 2 || got[0] != want || got[1] != want {
 		t.Errorf("told %+v, want %+v twice", got, want)
 	}
 }
+
+// TestGrantOfARemovedServerIsReplaced grants a server that the entry no longer knows, because the
+// broker has removed it since: the request must be served by another one.
+func TestGrantOfARemovedServerIsReplaced(t *testing.T) {
+	f, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "x") }))
+	asks := 0
+	f.mu.Lock()
+	f.decide = func(broker.Ask) (uint32, *broker.Refusal, bool) {
+		asks++
+		if asks == 1 {
+			return 9, nil, false
+		}
+		return 1, nil, false
+	}
+	f.mu.Unlock()
+	if res, text := e.send(t, http.MethodPost, "/once/x", "b"); res.StatusCode != http.StatusOK {
+		t.Errorf("got %d %q", res.StatusCode, text)
+	}
+	if r := f.releases(2); r[0].Outcome != broker.Unused || r[1].Outcome != broker.Answered {
+		t.Errorf("released %+v", r)
+	}
+}
