--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,9 +47,6 @@
 		endWatch := g.path.watchRequest(attemptCtx, a.server)
 		defer endWatch()
 	}
-	if a.relay == "" {
-		g.countBackoffSend(a.server, sendsRequest)
-	}
 	httpResponse, err := g.exchange(attemptCtx, k, a) //nolint:bodyclose // readBuffered closes it
 	res := response{}
 	status, report := g.readReport(httpResponse, err)
--- a/gateway/backoff.go
+++ b/gateway/backoff.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -42,8 +41,8 @@
 	// checksUntil is until when it wants no health checks either: it has said so in the
 	// response to one.
 	checksUntil time.Time
-	// sent counts what this entry sent to the server meanwhile.
-	sent map[sendKind]int
+	// checks counts the health checks that this entry sent to the server meanwhile.
+	checks int
 }
 
 // backoffs holds, by server identifier, the servers that have asked this entry to send
@@ -56,7 +55,7 @@
 func (b backoffs) ask(server string, kind sendKind, until time.Time) (later bool) {
 	known := b[server]
 	if known == nil {
-		known = &backoff{sent: map[sendKind]int{}}
+		known = &backoff{}
 		b[server] = known
 	}
 	if kind == sendsCheck && until.After(known.checksUntil) {
@@ -169,7 +168,7 @@
 	}
 }
 
-// endBackoff removes a backoff that has ended, and logs what this entry sent meanwhile.
+// endBackoff removes and logs a backoff that has ended.
 func (g *Gateway) endBackoff(s *server) {
 	g.view.mu.Lock()
 	known := g.view.backoffs[s.ID]
@@ -185,18 +184,18 @@
 	delete(g.view.backoffs, s.ID)
 	g.view.mu.Unlock()
 	g.log.Info().Str("event", "server_backoff_ended").Str("server", s.ID).Str("service", s.Service).
-		Int("requests", known.sent[sendsRequest]).Int("checks", known.sent[sendsCheck]).Send()
+		Int("checks", known.checks).Send()
 }
 
-// countBackoffSend counts what this entry sends to a server that wants nothing of it.
-func (g *Gateway) countBackoffSend(s *server, kind sendKind) {
+// countCheck counts a health check that this entry sends to a server that wants no requests of it.
+func (g *Gateway) countCheck(s *server) {
 	g.view.mu.Lock()
 	active := g.view.backoffs.active(s.ID, time.Now())
 	if active {
-		g.view.backoffs[s.ID].sent[kind]++
+		g.view.backoffs[s.ID].checks++
 	}
 	g.view.mu.Unlock()
 	if active {
-		g.options.Metrics.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_backoff_sends_total{kind=%q}", string(kind))).Inc()
+		g.options.Metrics.GetOrCreateCounter("tanagerbarrow_backoff_checks_total").Inc()
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 	g.pauses = newPauseDetector(boottime.Now, g.handlePause)
 	g.checker = newChecker(g.view, o.Dialect, o.Settings.Bounds.HealthChecksPerSecond, g.session.reportSamples)
 	g.checker.recordLimit = g.recordLimit
-	g.checker.onSend = func(s *server) { g.countBackoffSend(s, sendsCheck) }
+	g.checker.onSend = g.countCheck
 	g.checker.onResponse = func(s *server, status int, report backend.Report) {
 		g.observeBackoff(s, status, report, sendsCheck)
 		g.observeLeaving(s, status, report, sendsCheck)
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -108,7 +108,6 @@
 	ctx := k.request.Context()
 	g.view.startRequest(a.server)
 	usable, _ := g.path.contexts()
-	g.countBackoffSend(a.server, sendsRequest)
 	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
