Let calls go on when another one on their connection times out

Orders got 503 "ledger_unavailable ... connection is closed" while a control host's disk was slow. Cause: a call that got no response in time closed the connection, on which the claims of other orders waited with time left. Change: such a connection is retired: further calls open another one, because it may be silent, and it is closed when the last call on it has ended. Other errors still close it at once.

--- a/peer/client.go
+++ b/peer/client.go
@@ -26,7 +26,18 @@
 	peer settings.Host
 	tls  settings.TLSFiles
 	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	conn *sharedConn
+}
+
+// sharedConn is a connection on which calls wait for their responses.
+type sharedConn struct {
+	*jsonrpc2.Conn
+
+	// calls counts the calls in progress.
+	calls int
+	// retired says that no further call uses the connection, which is closed after the
+	// last one.
+	retired bool
 }
 
 // NewClient returns a client that calls peer and identifies itself as host.
@@ -53,19 +64,21 @@
 	if err != nil {
 		return errors.Mark(err, consensus.ErrNotConnected)
 	}
-	if err := conn.Call(ctx, method, params, result); err != nil {
-		c.closeIfBroken(conn, err)
+	err = conn.Call(ctx, method, params, result)
+	c.release(conn, err)
+	if err != nil {
 		return errors.Wrapf(err, "call %s on host %q", method, c.peer.Name)
 	}
 	return nil
 }
 
-// connect returns the open connection. If there is none, it opens one and
-// authenticates with the peer key.
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+// connect returns the open connection for one call, which must be released. If there is
+// none, it opens one and authenticates with the peer key.
+func (c *Client) connect(ctx context.Context) (*sharedConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil {
+		c.conn.calls++
 		return c.conn, nil
 	}
 	conn, err := c.dial(ctx)
@@ -78,8 +91,8 @@
 		_ = rpc.Close()
 		return nil, errors.Wrapf(err, "greet host %q", c.peer.Name)
 	}
-	c.conn = rpc
-	return rpc, nil
+	c.conn = &sharedConn{Conn: rpc, calls: 1}
+	return c.conn, nil
 }
 
 // dial opens a TCP connection with keepalive, with TLS if files are set.
@@ -98,19 +111,28 @@
 	return (&tls.Dialer{NetDialer: &dialer, Config: config}).DialContext(ctx, "tcp", c.peer.Peer.String())
 }
 
-// closeIfBroken closes the connection after a failed call, unless err is an
-// error response that the peer sent over a working connection.
-func (c *Client) closeIfBroken(conn *jsonrpc2.Conn, err error) {
-	var peerError *jsonrpc2.Error
-	if errors.As(err, &peerError) {
-		return
-	}
+// release ends a call on a connection. A response of the peer, also an error, shows that the
+// connection works. A call that got none in time may have met a peer that is slow or a connection
+// that is silent: further calls use another one, and those in progress keep theirs. After any other
+// error the connection is closed.
+func (c *Client) release(conn *sharedConn, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn == conn {
-		c.conn = nil
+	conn.calls--
+	var peerError *jsonrpc2.Error
+	if err != nil && !errors.As(err, &peerError) {
+		conn.retired = true
+		if c.conn == conn {
+			c.conn = nil
+		}
+		if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
+			_ = conn.Close()
+			return
+		}
+	}
+	if conn.retired && conn.calls == 0 {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
 }
 
 // Close closes the connection.
--- a/peer/replication.go
+++ b/peer/replication.go
@@ -187,8 +187,9 @@
 	}
 	writeTimer := time.AfterFunc(writeTimeout, func() { _ = conn.Close() })
 	defer writeTimer.Stop()
-	if err := conn.Notify(ctx, method, params); err != nil {
-		c.closeIfBroken(conn, err)
+	err = conn.Notify(ctx, method, params)
+	c.release(conn, err)
+	if err != nil {
 		return errors.Wrapf(err, "notify %s on host %q", method, c.peer.Name)
 	}
 	return nil
