Claim orders again on control hosts that are slow to respond

Orders got 503 "ledger_unavailable ... context deadline exceeded" after one second, with most of their time left, while the disk of the only control host was slow. Cause: each control host was asked once, for at most a second, so that one that doesn't respond can't use up the time. With one host, or with all slow, nobody was left to ask. Change: hosts that were reached and did not respond in time are asked again until the order's deadline; the command is idempotent for its token. Hosts that can't be reached are not.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tanagerbarrow/consensus"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/peer"
 )
@@ -50,26 +51,38 @@
 }
 
 // Apply sends a ledger command to the control hosts of the group of the home
-// regions, one after another, until one responds. Sending it to a second host is
-// safe, because a command is idempotent for its token. Apply returns an error if
-// no home region has a control host, or that of the last call if none responds.
+// regions, one after another, until one responds. Sending it again is safe, because
+// a command is idempotent for its token: hosts that were reached and did not respond in
+// time, since their disks are slow, are asked again until ctx ends. Apply returns an
+// error if no home region has a control host, or that of the last call if none responds.
 func (c *ledgerClient) Apply(ctx context.Context, homes []string, command ledger.Command) (ledger.Result, error) {
 	group := c.group(homes)
 	if group == nil {
 		return ledger.Result{}, errors.Newf("no control host stands in home regions %q", homes)
 	}
-	var err error
-	first := int(group.lastResponder.Load())
-	for i := range group.controls {
-		index := (first + i) % len(group.controls)
-		var result ledger.Result
-		result, err = applyOn(ctx, group.controls[index], peer.LedgerCommand{Group: group.name, Command: command})
+	for {
+		result, slow, err := group.applyOnAny(ctx, command)
+		if err == nil || !slow || ctx.Err() != nil {
+			return result, err
+		}
+	}
+}
+
+// applyOnAny sends a ledger command to the control hosts, one after another, until one
+// responds. It returns the error of the last call if none does, and whether any was
+// reached and did not respond in time.
+func (g *ledgerGroup) applyOnAny(ctx context.Context, command ledger.Command) (result ledger.Result, slow bool, err error) {
+	first := int(g.lastResponder.Load())
+	for i := range g.controls {
+		index := (first + i) % len(g.controls)
+		result, err = applyOn(ctx, g.controls[index], peer.LedgerCommand{Group: g.name, Command: command})
 		if err == nil {
-			group.lastResponder.Store(uint32(index))
-			return result, nil
+			g.lastResponder.Store(uint32(index))
+			return result, false, nil
 		}
+		slow = slow || errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, consensus.ErrNotConnected)
 	}
-	return ledger.Result{}, err
+	return ledger.Result{}, slow, err
 }
 
 // applyOn sends a ledger command to one control host.
