Call what servers ask of an entry a backoff everywhere

Cause: "pause" already names the time in which a process did not run. Two tests of entries share their set-up; each check is as before.

--- a/bench/soak/backoff_test.go
+++ b/bench/soak/backoff_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// The bound of a pause that a server asks an entry for: from backoffGrace after it has asked
+// The bound of a backoff that a server asks an entry for: from backoffGrace after it has asked
 // until the end of that time, backoffSlack requests of the entry.
 const (
 	backoffGrace = 500*time.Millisecond + requestSlack
@@ -17,31 +17,31 @@
 // backoff is what a server asks entries for when it turns them away, and what it asked for.
 type backoff struct {
 	mu sync.Mutex
-	// pause is the time that it asks for now; 0 if it turns nobody away.
-	pause time.Duration
+	// wait is the time that it asks for now; 0 if it turns nobody away.
+	wait time.Duration
 	// entry is the only entry that it turns away; -1 for all.
 	entry int
 	// withoutProof leaves open whether the request has run.
 	withoutProof bool
-	asked        []askedPause
+	asked        []askedBackoff
 }
 
-// askedPause is a pause that a server has asked an entry for.
-type askedPause struct {
+// askedBackoff is a backoff that a server has asked an entry for.
+type askedBackoff struct {
 	entry    int
 	from, to time.Time
 	requests int
 }
 
-// set makes a server ask an entry, or all entries, to pause from now on.
-func (b *backoff) set(pause time.Duration, entry int, withoutProof bool) {
+// set makes a server ask an entry, or all entries, to back off from now on.
+func (b *backoff) set(wait time.Duration, entry int, withoutProof bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pause, b.entry, b.withoutProof = pause, entry, withoutProof
+	b.wait, b.entry, b.withoutProof = wait, entry, withoutProof
 }
 
 // turnsAway records a request of an entry, which fails the run if the server has asked that
-// entry to pause, and responds to it if the server turns it away.
+// entry to back off, and responds to it if the server turns it away.
 func (b *backoff) turnsAway(h *harness, id string, entry int, w http.ResponseWriter) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -52,18 +52,18 @@
 			continue
 		}
 		if a.requests++; a.requests == backoffSlack+1 {
-			h.fail("BUDGET: %s asked entry %d to pause until %s and got request %d of it", id, entry, a.to.Format("05.000"), a.requests)
+			h.fail("BUDGET: %s asked entry %d to back off until %s and got request %d of it", id, entry, a.to.Format("05.000"), a.requests)
 		}
 	}
-	if b.pause == 0 || b.entry >= 0 && b.entry != entry {
+	if b.wait == 0 || b.entry >= 0 && b.entry != entry {
 		return false
 	}
 	if !b.withoutProof {
 		w.Header().Set("Not-Executed", "1")
 	}
-	w.Header().Set("Retry-After", fmt.Sprint(b.pause.Seconds()))
+	w.Header().Set("Retry-After", fmt.Sprint(b.wait.Seconds()))
 	w.WriteHeader(http.StatusServiceUnavailable)
-	b.asked = append(b.asked, askedPause{entry: entry, from: now.Add(backoffGrace), to: now.Add(b.pause)})
+	b.asked = append(b.asked, askedBackoff{entry: entry, from: now.Add(backoffGrace), to: now.Add(b.wait)})
 	return true
 }
 
@@ -78,9 +78,9 @@
 	return p.lastDisruptedAt.After(since) || h.cutChangedAt[entry].After(since) || h.cuts[entry].Load() != cutNone
 }
 
-// askForPauses makes the last server but one turn entries away for a time, all or one, and ask
-// them to pause.
-func askForPauses(h *harness, servers []*server, end time.Time) {
+// askForBackoffs makes the last server but one turn entries away for a time, all or one, and ask
+// them to back off.
+func askForBackoffs(h *harness, servers []*server, end time.Time) {
 	random := h.randomFor(7)
 	b := &servers[len(servers)-2].backoff
 	for time.Now().Before(end) {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -87,7 +87,7 @@
 		callers.Go(func() { h.sendRequests(n, stop) })
 	}
 	end := time.Now().Add(*runLength)
-	for _, inject := range []func(*harness, []*server, time.Time){injectEntryFaults, injectControlFaults, injectProxyFaults, changeSystem, nameLimits, cutEntries, askForPauses, announceLeaving} {
+	for _, inject := range []func(*harness, []*server, time.Time){injectEntryFaults, injectControlFaults, injectProxyFaults, changeSystem, nameLimits, cutEntries, askForBackoffs, announceLeaving} {
 		injectors.Go(func() { inject(h, servers, end) })
 	}
 	injectors.Wait()
--- a/broker/backoff_test.go
+++ b/broker/backoff_test.go
@@ -9,28 +9,28 @@
 )
 
 // The bound of a backoff, as the servers' owners state it: from backoffGrace after a server
-// has asked an entry to pause until the end of that time, backoffSlack requests of the entry.
+// has asked an entry to back off until the end of that time, backoffSlack requests of the entry.
 const (
 	backoffGrace = 500 * time.Millisecond
 	backoffSlack = 2
 )
 
-// The times of the replayed day: from pausesFrom to pausesTo, servers turn all requests away.
+// The times of the replayed day: from backoffsFrom to backoffsTo, servers turn all requests away.
 const (
-	pausesFrom  = 2 * time.Second
-	pausesTo    = 13 * time.Second
-	backoffDay  = 18 * time.Second
-	backoffTrip = 10 * time.Millisecond
+	backoffsFrom = 2 * time.Second
+	backoffsTo   = 13 * time.Second
+	backoffDay   = 18 * time.Second
+	backoffTrip  = 10 * time.Millisecond
 )
 
 // backoffLoad is a load on four servers, some of which turn all requests away for a time
-// and ask each entry that sent one to pause. It is replayed in virtual time.
+// and ask each entry that sent one to back off. It is replayed in virtual time.
 type backoffLoad struct {
 	*testBroker
 	random *rand.Rand
 	// rate is the number of requests per second.
 	rate float64
-	// turnsAway returns for how long a server asks an entry to pause; 0 if it answers.
+	// turnsAway returns for how long a server asks an entry to back off; 0 if it answers.
 	turnsAway func(server, entry string, at time.Duration) time.Duration
 	running   []backoffRequest
 	arrivals  []backoffRequest
@@ -45,7 +45,7 @@
 	number        uint32
 	grant         uint64
 	at, endsAt    time.Duration
-	pause         time.Duration
+	wait          time.Duration
 }
 
 // newBackoffLoad returns a load of 20 requests a second of two entries.
@@ -78,7 +78,7 @@
 				ask: Ask{Seq: o.Grant.Seq, Service: "s", ObjectiveMillis: 400, DeadlineMillis: 4000}, entry: o.Entry,
 				server: o.Server.Record.ID, number: o.Server.Number, grant: o.Grant.ID, at: at, endsAt: at + limitedServiceTime,
 			}
-			if q.pause = l.turnsAway(q.server, q.entry, at); q.pause > 0 {
+			if q.wait = l.turnsAway(q.server, q.entry, at); q.wait > 0 {
 				q.endsAt = at + backoffTrip
 			}
 			l.running, l.arrivals = append(l.running, q), append(l.arrivals, q)
@@ -98,12 +98,12 @@
 		return true
 	})
 	for _, q := range ended {
-		if q.pause == 0 {
+		if q.wait == 0 {
 			l.answered++
 			l.Release(q.entry, Release{ID: q.grant, Outcome: Answered, ElapsedMillis: 50, KeepAliveMillis: 9000}, l.now)
 			continue
 		}
-		l.SetBackoff(q.entry, Backoff{ServerID: q.server, Millis: int(q.pause.Milliseconds())}, l.now)
+		l.SetBackoff(q.entry, Backoff{ServerID: q.server, Millis: int(q.wait.Milliseconds())}, l.now)
 		l.Release(q.entry, Release{ID: q.grant, Outcome: Refused, ElapsedMillis: 10, KeepAliveMillis: 9000}, l.now)
 		l.seq++
 		l.Ask(q.entry, Ask{
@@ -112,30 +112,30 @@
 	}
 }
 
-// checkBackoffs fails the test if a server got more requests than its pauses allow.
+// checkBackoffs fails the test if a server got more requests than its backoffs allow.
 func (l *backoffLoad) checkBackoffs() {
 	l.t.Helper()
 	for _, asked := range l.arrivals {
 		got := 0
 		for _, q := range l.arrivals {
-			inPause := q.at > asked.endsAt+backoffGrace && q.at < asked.endsAt+asked.pause
-			if asked.pause > 0 && inPause && q.server == asked.server && q.entry == asked.entry {
+			during := q.at > asked.endsAt+backoffGrace && q.at < asked.endsAt+asked.wait
+			if asked.wait > 0 && during && q.server == asked.server && q.entry == asked.entry {
 				got++
 			}
 		}
 		if got > backoffSlack {
-			l.t.Fatalf("at %v %s asked %s to pause for %v and got %d requests meanwhile, allowed are %d",
-				asked.endsAt, asked.server, asked.entry, asked.pause, got, backoffSlack)
+			l.t.Fatalf("at %v %s asked %s to back off for %v and got %d requests meanwhile, allowed are %d",
+				asked.endsAt, asked.server, asked.entry, asked.wait, got, backoffSlack)
 		}
 	}
 }
 
 // TestServersGetNoRequestsDuringBackoff replays a day on which servers turn all requests
-// away and ask the entries that sent them to pause.
+// away and ask the entries that sent them to back off.
 func TestServersGetNoRequestsDuringBackoff(t *testing.T) {
 	first := func(server string) bool { return server == "server0" }
 	for name, c := range map[string]struct {
-		pause  time.Duration
+		wait   time.Duration
 		server func(server string) bool
 		entry  string
 		rate   float64
@@ -143,7 +143,7 @@
 		answered float64
 	}{
 		"one server":        {3 * time.Second, first, "", 20, 0.95},
-		"short pauses":      {700 * time.Millisecond, first, "", 20, 0.95},
+		"short backoffs":    {700 * time.Millisecond, first, "", 20, 0.95},
 		"high load":         {3 * time.Second, first, "", 80, 0.95},
 		"one entry":         {3 * time.Second, first, "e1", 20, 0.95},
 		"most servers":      {3 * time.Second, func(s string) bool { return s != "server3" }, "", 20, 0.85},
@@ -152,10 +152,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newBackoffLoad(t, func(server, entry string, at time.Duration) time.Duration {
-				if at < pausesFrom || at >= pausesTo || !c.server(server) || c.entry != "" && entry != c.entry {
+				if at < backoffsFrom || at >= backoffsTo || !c.server(server) || c.entry != "" && entry != c.entry {
 					return 0
 				}
-				return c.pause
+				return c.wait
 			})
 			l.rate = c.rate
 			l.run()
@@ -167,12 +167,12 @@
 	}
 }
 
-// TestShorterPauseDoesNotEndALongerOne replays pauses of 5 s of which some are followed by
+// TestShorterBackoffDoesNotEndALongerOne replays backoffs of 5 s of which some are followed by
 // shorter ones, for requests that the server got before it asked for the first.
-func TestShorterPauseDoesNotEndALongerOne(t *testing.T) {
+func TestShorterBackoffDoesNotEndALongerOne(t *testing.T) {
 	n := 0
 	l := newBackoffLoad(t, func(server, _ string, at time.Duration) time.Duration {
-		if server != "server0" || at < pausesFrom || at >= pausesTo {
+		if server != "server0" || at < backoffsFrom || at >= backoffsTo {
 			return 0
 		}
 		n++
@@ -184,22 +184,22 @@
 }
 
 // TestNoRequestWaitsForBackoffs checks that a request is refused at once, with the time at
-// which the first server may be asked again, if all servers ask its entry to pause for
+// which the first server may be asked again, if all servers ask its entry to back off for
 // longer than it may wait: when it arrives, and while it waits for a slot.
 func TestNoRequestWaitsForBackoffs(t *testing.T) {
-	pauseAll := func(w *testBroker) {
-		for n, pause := range []time.Duration{9 * time.Second, 3 * time.Second} {
-			w.SetBackoff("e1", Backoff{ServerID: fmt.Sprint("server", n), Millis: int(pause.Milliseconds())}, w.now)
+	backOffAll := func(w *testBroker) {
+		for n, wait := range []time.Duration{9 * time.Second, 3 * time.Second} {
+			w.SetBackoff("e1", Backoff{ServerID: fmt.Sprint("server", n), Millis: int(wait.Milliseconds())}, w.now)
 		}
 	}
 	check := func(o Output) {
 		t.Helper()
 		if o.Refusal == nil || o.Refusal.RetryMillis < 3000 || o.Refusal.RetryMillis > 4000 {
-			t.Errorf("reply %+v, want a refusal until the first pause ends after 3 s", o.Refusal)
+			t.Errorf("reply %+v, want a refusal until the first backoff ends after 3 s", o.Refusal)
 		}
 	}
 	w := newTestBroker(t, "a", "b")
-	pauseAll(w)
+	backOffAll(w)
 	check(w.ask("e1", nil))
 	w.granted("e2", nil)
 
@@ -210,7 +210,7 @@
 	if o := w.ask("e1", nil); o.Grant != nil || o.Refusal != nil {
 		t.Fatalf("reply %+v, want none", o)
 	}
-	pauseAll(w)
+	backOffAll(w)
 	check(w.onlyOutput())
 }
 
@@ -254,7 +254,7 @@
 	}
 }
 
-// TestBackoffEndsWithItsServer restarts a server that asked for a pause, under its identifier
+// TestBackoffEndsWithItsServer restarts a server that asked for a backoff, under its identifier
 // and under another one at its address.
 func TestBackoffEndsWithItsServer(t *testing.T) {
 	for _, id := range []string{"server0", "server1"} {
--- a/gateway/willing.go
+++ b/gateway/accepting.go
@@ -6,17 +6,17 @@
 	"tanagerbarrow/protocol"
 )
 
-// wantsRequests reports whether a server wants requests of this entry now or, if another entry
+// acceptsRequests reports whether a server accepts requests of this entry now or, if another entry
 // relays them, of that one.
-func (v *view) wantsRequests(s *server, relayed bool) bool {
+func (v *view) acceptsRequests(s *server, relayed bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.willing(s, relayed, time.Now())
+	return v.accepts(s, relayed, time.Now())
 }
 
-// willing is wantsRequests for a caller that holds the lock. A server that leaves wants no
-// requests of any entry; one that backs off may want those of the relay.
-func (v *view) willing(s *server, relayed bool, now time.Time) bool {
+// accepts is acceptsRequests for a caller that holds the lock. A server that leaves accepts no
+// requests of any entry; one that backs off may accept those of the relay.
+func (v *view) accepts(s *server, relayed bool, now time.Time) bool {
 	return !v.departures.leaving(s.ID, v.serversTerm, now) && (relayed || !v.backoffs.active(s.ID, now))
 }
 
--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -174,7 +174,7 @@
 	var usable []*server
 	for _, s := range v.servers {
 		usableNow := v.allowed(s, service, r, avoid, now) && !now.Before(s.avoidUntil) && s.running < (s.Slots+1)/2 &&
-			v.willing(s, relayed, now)
+			v.accepts(s, relayed, now)
 		if !usableNow {
 			continue
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,7 +33,7 @@
 
 // maySend reports whether this entry may begin to send an attempt, itself or to a relay.
 func (g *Gateway) maySend(a *attempt) bool {
-	return a.mayStart() && g.view.wantsRequests(a.server, a.relay != "")
+	return a.mayStart() && g.view.acceptsRequests(a.server, a.relay != "")
 }
 
 // sendAttempt sends the request to one server, reads its complete response and
--- a/gateway/backoff.go
+++ b/gateway/backoff.go
@@ -23,8 +23,8 @@
 	maxBackoffSpread   = time.Second
 )
 
-// errChecksPaused means that a server wants no health checks of this entry now.
-var errChecksPaused = errors.New("the server wants no health checks now")
+// errCheckBackoff means that a server wants no health checks of this entry now.
+var errCheckBackoff = errors.New("the server wants no health checks now")
 
 // sendKind is what an entry sends to a server.
 type sendKind string
@@ -97,29 +97,29 @@
 	return active
 }
 
-// checksPause returns for how much longer a server wants no health checks of this entry.
-func (v *view) checksPause(s *server, now time.Time) time.Duration {
+// checkBackoff returns for how much longer a server wants no health checks of this entry.
+func (v *view) checkBackoff(s *server, now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.checksPauseLocked(s, now)
+	return v.checkBackoffLocked(s, now)
 }
 
-// checksPauseLocked is checksPause for a caller that holds the lock.
-func (v *view) checksPauseLocked(s *server, now time.Time) time.Duration {
+// checkBackoffLocked is checkBackoff for a caller that holds the lock.
+func (v *view) checkBackoffLocked(s *server, now time.Time) time.Duration {
 	if known := v.backoffs[s.ID]; known != nil {
 		return max(0, known.checksUntil.Sub(now))
 	}
 	return 0
 }
 
-// unwilling returns the numbers of the servers of a service that want no requests of this entry
+// notAccepting returns the numbers of the servers of a service that want no requests of this entry
 // now.
-func (v *view) unwilling(service string, now time.Time) []uint32 {
+func (v *view) notAccepting(service string, now time.Time) []uint32 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var numbers []uint32
 	for _, s := range v.servers {
-		if s.Service == service && !v.willing(s, false, now) {
+		if s.Service == service && !v.accepts(s, false, now) {
 			numbers = append(numbers, s.Number)
 		}
 	}
--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -39,7 +39,7 @@
 	return b.buffer.String()
 }
 
-// TestBackoffsAreLogged checks the log lines of a server that asks for a pause.
+// TestBackoffsAreLogged checks the log lines of a server that asks for a backoff.
 func TestBackoffsAreLogged(t *testing.T) {
 	log := &lockedBuffer{}
 	busy := scriptedServer(t, func(c net.Conn, r *http.Request) {
@@ -64,15 +64,15 @@
 	}
 }
 
-// TestEntrySendsNothingDuringBackoff lets a broker that knows of no pause grant a server
+// TestEntrySendsNothingDuringBackoff lets a broker that knows of no backoff grant a server
 // that has asked this entry for one, in the ways in which servers say so.
 func TestEntrySendsNothingDuringBackoff(t *testing.T) {
 	const notRun = notRunHeader + ": 1\r\n"
 	for name, c := range map[string]struct {
 		status int
 		header string
-		// pauses says that the response asks for a pause.
-		pauses bool
+		// asks says that the response asks for a backoff.
+		asks bool
 	}{
 		"refusal":                   {503, notRun + retryHeader + ": 30\r\n", true},
 		"fraction":                  {503, notRun + retryHeader + ": 29.5\r\n", true},
@@ -86,23 +86,11 @@
 		"of too many of a caller's": {429, notRun + retryHeader + ": 30\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var arrivals atomic.Int32
-			busy := scriptedServer(t, func(conn net.Conn, r *http.Request) {
-				arrivals.Add(1)
-				respond(conn, r, c.status, c.header, "")
-			})
-			ready := scriptedServer(t, func(conn net.Conn, r *http.Request) { respond(conn, r, 200, "", "x") })
-			_, e := setUp(t, busy, ready)
-			for range 4 {
-				if res, _ := e.send(t, http.MethodGet, "/safe/x", ""); res.StatusCode != http.StatusOK {
-					t.Errorf("status %d", res.StatusCode)
-				}
-			}
-			want := int32(4)
-			if c.pauses {
+			want := 4
+			if c.asks {
 				want = 1
 			}
-			if got := arrivals.Load(); got != want {
+			if got := requestsToFirst(t, 4, func(conn net.Conn, r *http.Request) { respond(conn, r, c.status, c.header, "") }); got != want {
 				t.Errorf("the server got %d requests, want %d", got, want)
 			}
 		})
@@ -131,11 +119,11 @@
 		chooser.view.backoffs.ask("i-2", sendsRequest, time.Now().Add(10*time.Second))
 		chooser.view.backoffs.ask("i-3", sendsRequest, time.Now().Add(10*time.Second))
 		if s := choose(); s != nil {
-			t.Errorf("chose %+v while all servers pause", s)
+			t.Errorf("chose %+v while all servers back off", s)
 		}
 		time.Sleep(4 * time.Second)
 		if s := choose(); s == nil || s.ID != "i-1" {
-			t.Errorf("chose %+v after the first pause has ended", s)
+			t.Errorf("chose %+v after the first backoff has ended", s)
 		}
 	})
 }
@@ -168,15 +156,15 @@
 		e.send(t, http.MethodGet, "/safe/x", "")
 	}
 	s := e.view.server(1)
-	entryMaySend, relayMaySend := e.view.wantsRequests(s, false), relay.view.wantsRequests(s, false)
+	entryMaySend, relayMaySend := e.view.acceptsRequests(s, false), relay.view.acceptsRequests(s, false)
 	if !entryMaySend || relayMaySend || arrivals.Load() != 1 {
 		t.Errorf("the entry may send: %v, the relay: %v, %d requests", entryMaySend, relayMaySend, arrivals.Load())
 	}
 }
 
-// TestNewBrokerHearsOfBackoffs checks what an entry tells the broker of a pause, at once and
+// TestNewBrokerLearnsOfBackoffs checks what an entry tells the broker of a backoff, at once and
 // after the connection was lost.
-func TestNewBrokerHearsOfBackoffs(t *testing.T) {
+func TestNewBrokerLearnsOfBackoffs(t *testing.T) {
 	f, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) {
 		respond(c, r, 503, notRunHeader+": 1\r\n"+retryHeader+": 30\r\n", "")
 	}))
@@ -191,18 +179,18 @@
 	got := slices.Clone(f.backoffs)
 	f.mu.Unlock()
 	if len(got) != 2 {
-		t.Fatalf("told %v, want two", got)
+		t.Fatalf("reported %v, want two", got)
 	}
 	for _, b := range got {
 		if b.ServerID != "server-1" || b.Millis < 25_000 || b.Millis > 32_000 {
-			t.Errorf("told %+v", b)
+			t.Errorf("reported %+v", b)
 		}
 	}
 }
 
-// TestChecksPauseIfACheckSaysSo checks that health checks go on while a server wants no
+// TestChecksBackOffIfACheckSaysSo checks that health checks go on while a server wants no
 // requests, and end if it says so in the response to one.
-func TestChecksPauseIfACheckSaysSo(t *testing.T) {
+func TestChecksBackOffIfACheckSaysSo(t *testing.T) {
 	for kind, want := range map[sendKind]int32{sendsRequest: 1, sendsCheck: 0} {
 		var checks atomic.Int32
 		_, e := setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) {
@@ -213,7 +201,7 @@
 		e.observeBackoff(s, http.StatusServiceUnavailable, backend.Report{RetryAfter: time.Minute}, kind)
 		err := e.checker.probe(t.Context(), s)
 		if checks.Load() != want || (err == nil) != (want == 1) {
-			t.Errorf("after a pause asked for in response to a %s: %d checks, error %v", kind, checks.Load(), err)
+			t.Errorf("after a wait asked for in response to a %s: %d checks, error %v", kind, checks.Load(), err)
 		}
 		if targets := e.view.probeTargets(time.Now()); len(targets) != int(want) {
 			t.Errorf("%d servers to probe, want %d", len(targets), want)
@@ -221,7 +209,7 @@
 	}
 }
 
-// TestBackoffEndsWithTheServer applies views in which a server that asked for a pause stays, is
+// TestBackoffEndsWithTheServer applies views in which a server that asked for a backoff stays, is
 // removed, restarts, or has the number of another broker.
 func TestBackoffEndsWithTheServer(t *testing.T) {
 	at := func(number uint32) []protocol.Server {
@@ -252,7 +240,7 @@
 	}
 }
 
-// TestEntriesReturnSpreadOut checks that the entries that a server asked to pause at one time
+// TestEntriesReturnSpreadOut checks that the entries that a server asked to back off at one time
 // don't return at one time, and none early.
 func TestEntriesReturnSpreadOut(t *testing.T) {
 	report := backend.Report{RetryAfter: 4 * time.Second}
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -144,9 +144,9 @@
 			t.nextCheck = now + defaultCheckInterval
 			continue
 		}
-		if pause := c.view.checksPause(s, time.Now()); pause > 0 {
-			// The server may restart before the pause ends.
-			t.nextCheck = now + min(pause, defaultCheckInterval)
+		if wait := c.view.checkBackoff(s, time.Now()); wait > 0 {
+			// The server may restart before its backoff ends.
+			t.nextCheck = now + min(wait, defaultCheckInterval)
 			continue
 		}
 		t.inProgress = true
@@ -164,7 +164,7 @@
 	defer endWatch()
 	sample := broker.Sample{Server: s.Number, ColdMillis: -1, Running: -1}
 	res, err := c.requestHealth(ctx, c.exchanger, s, false)
-	if errors.Is(err, errChecksPaused) {
+	if errors.Is(err, errCheckBackoff) {
 		c.postpone(t)
 		return
 	}
@@ -236,8 +236,8 @@
 // new one if newConnection is set. A server that refuses the request yields both a
 // response and an error.
 func (c *checker) requestHealth(ctx context.Context, x *backend.Exchanger, s *server, newConnection bool) (checkResponse, error) {
-	if c.view.checksPause(s, time.Now()) > 0 {
-		return checkResponse{}, errChecksPaused
+	if c.view.checkBackoff(s, time.Now()) > 0 {
+		return checkResponse{}, errCheckBackoff
 	}
 	path := "/health"
 	if index := c.view.configuration(); index != nil && index.Service(s.Service) != nil {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -157,7 +157,7 @@
 		// The grant is older than what the broker knows by now, or the broker is of a build
 		// that doesn't know what servers say.
 		g.session.release(broker.Release{ID: r.grant.ID, Outcome: broker.Unused})
-		ask.ExcludedServers = slices.Concat(avoid, g.view.unwilling(k.service, time.Now()))
+		ask.ExcludedServers = slices.Concat(avoid, g.view.notAccepting(k.service, time.Now()))
 		r, err = g.session.ask(ctx, ask, maxQueueWait)
 	}
 	k.brokerWait += time.Since(now)
@@ -193,7 +193,7 @@
 func (g *Gateway) mayUse(grant *broker.Grant) bool {
 	relayed := grant.Relay != ""
 	s := g.view.server(grant.Server)
-	return (relayed || !g.path.lost()) && s != nil && g.view.wantsRequests(s, relayed)
+	return (relayed || !g.path.lost()) && s != nil && g.view.acceptsRequests(s, relayed)
 }
 
 // chooseAlone chooses a server without a broker and, if this entry reaches no server, an
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -78,7 +78,7 @@
 	// relay is the address of the entry that relays granted requests; empty for none.
 	relay string
 	paths []protocol.Path
-	// backoffs are the pauses that the entries have reported.
+	// backoffs are what the entries have reported.
 	backoffs []broker.Backoff
 	// departures are the servers of which entries have reported that they leave.
 	departures []protocol.Leaving
@@ -304,6 +304,25 @@
 	return f, startEntry(t, f, log)
 }
 
+// requestsToFirst sends requests to an entry whose broker grants a server that answers as given
+// first, and then another one, which must serve the request. It returns how many reached the first.
+func requestsToFirst(t *testing.T, requests int, answer func(net.Conn, *http.Request)) int {
+	t.Helper()
+	var arrivals atomic.Int32
+	first := scriptedServer(t, func(c net.Conn, r *http.Request) {
+		arrivals.Add(1)
+		answer(c, r)
+	})
+	second := scriptedServer(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "x") })
+	_, e := setUp(t, first, second)
+	for range requests {
+		if res, _ := e.send(t, http.MethodGet, "/safe/x", ""); res.StatusCode != http.StatusOK {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+	return int(arrivals.Load())
+}
+
 // send sends a request that waits 900 ms, and returns the response and its body.
 func (e *testEntry) send(t testing.TB, method, path, body string) (*http.Response, string) {
 	t.Helper()
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -40,23 +40,11 @@
 		"another server": {func(c net.Conn, r *http.Request) { respond(c, r, 421, leaving+notRunHeader+": 1\r\n", "") }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var arrivals atomic.Int32
-			leaver := scriptedServer(t, func(conn net.Conn, r *http.Request) {
-				arrivals.Add(1)
-				c.answer(conn, r)
-			})
-			ready := scriptedServer(t, func(conn net.Conn, r *http.Request) { respond(conn, r, 200, "", "x") })
-			_, e := setUp(t, leaver, ready)
-			for range 4 {
-				if res, _ := e.send(t, http.MethodGet, "/safe/x", ""); res.StatusCode != http.StatusOK {
-					t.Errorf("status %d", res.StatusCode)
-				}
-			}
-			want := int32(4)
+			want := 4
 			if c.leaves {
 				want = 1
 			}
-			if got := arrivals.Load(); got != want {
+			if got := requestsToFirst(t, 4, c.answer); got != want {
 				t.Errorf("the server got %d requests, want %d", got, want)
 			}
 		})
@@ -138,22 +126,22 @@
 		v.applyView(protocol.View{Full: true, Servers: at(1)}, time.Now())
 		g.observeLeaving(v.server(1), http.StatusOK, backend.Report{Leaving: true}, sendsRequest)
 		time.Sleep(time.Hour)
-		if v.wantsRequests(v.server(1), false) {
+		if v.acceptsRequests(v.server(1), false) {
 			t.Error("used again under the same broker")
 		}
 		v.beginTerm(2)
 		v.applyView(protocol.View{Full: true, Servers: at(7)}, time.Now())
-		if !v.wantsRequests(v.server(7), false) {
+		if !v.acceptsRequests(v.server(7), false) {
 			t.Error("not used by the next broker an hour later")
 		}
 		g.observeLeaving(v.server(7), http.StatusOK, backend.Report{Leaving: true}, sendsRequest)
 		v.beginTerm(3)
 		v.applyView(protocol.View{Full: true, Servers: at(9)}, time.Now())
-		if v.wantsRequests(v.server(9), false) {
+		if v.acceptsRequests(v.server(9), false) {
 			t.Error("used by the next broker at once")
 		}
 		v.applyView(protocol.View{Removed: []uint32{9}, Servers: at(10)}, time.Now())
-		if !v.wantsRequests(v.server(10), false) {
+		if !v.acceptsRequests(v.server(10), false) {
 			t.Error("another start of the server is not used")
 		}
 	})
@@ -175,7 +163,7 @@
 	f.mu.Unlock()
 	want := protocol.Leaving{ServerID: "server-1", Number: 1, Term: 1}
 	if len(got) != 2 || got[0] != want || got[1] != want {
-		t.Errorf("told %+v, want %+v twice", got, want)
+		t.Errorf("reported %+v, want %+v twice", got, want)
 	}
 }
 
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -319,7 +319,7 @@
 	ranked := map[int][]*server{}
 	highest := 0
 	for _, s := range v.servers {
-		if v.checksPauseLocked(s, now) > 0 {
+		if v.checkBackoffLocked(s, now) > 0 {
 			continue
 		}
 		rank := zones[s.AvailabilityZone]
@@ -360,7 +360,7 @@
 	}
 	var nearest []*server
 	for _, s := range v.servers {
-		if !s.limit.Limited() && v.checksPauseLocked(s, time.Now()) == 0 {
+		if !s.limit.Limited() && v.checkBackoffLocked(s, time.Now()) == 0 {
 			nearest = append(nearest, s)
 		}
 	}
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -47,7 +47,7 @@
 		maxWait := time.Duration(paceWaitShare * float64(k.route.LatencyObjective))
 		for waitEnd := time.Now().Add(maxWait); ctx.Err() == nil && time.Now().Before(waitEnd); {
 			pace, err := g.checker.readPace(ctx, a.server)
-			if err == nil && pace <= maxSteadyPace || errors.Is(err, errChecksPaused) {
+			if err == nil && pace <= maxSteadyPace || errors.Is(err, errCheckBackoff) {
 				return
 			}
 			sleep(ctx, paceCheckInterval)
