Keep what servers have said when the broker starts anew in its term

A server that had asked an entry to back off got requests of it in that time, after the broker had lost its lease and regained it in the same term. Cause: the entry took another number of a server in the same term for another start of the server, and forgot its backoff. A broker that starts anew, also in the same term, numbers its servers anew. Change: a full view says nothing about restarts; only a change in a session does. What a server has said of its leaving is kept for 30 s under a broker that gives it another number.

--- a/gateway/accepting.go
+++ b/gateway/accepting.go
@@ -21,19 +21,18 @@
 }
 
 // forgetEnded forgets what servers have said that the broker has removed or that have restarted.
-// The numbers of another term say nothing about that. The caller holds the lock.
+// A full view may come from a broker that has started anew, also in the same term, and whose
+// numbers say nothing about that. The caller holds the lock.
 func (v *view) forgetEnded(m protocol.View, now time.Time) {
+	if m.Full {
+		v.carryDepartures(m.Servers, now)
+		return
+	}
 	for _, n := range m.Removed {
 		if s := v.servers[n]; s != nil {
 			v.forget(s.ID)
 		}
 	}
-	if m.Full {
-		v.expireDepartures(now)
-	}
-	if m.Full && v.serversTerm != v.term {
-		return
-	}
 	for _, s := range m.Servers {
 		if _, leaves := v.departures[s.ID]; (leaves || v.backoffs[s.ID] != nil) && v.isRestarted(s) {
 			v.forget(s.ID)
@@ -41,10 +40,18 @@
 	}
 }
 
-// expireDepartures forgets the departures that have outlasted their term for too long. The caller
-// holds the lock.
-func (v *view) expireDepartures(now time.Time) {
-	for id := range v.departures {
+// carryDepartures keeps the departures of servers that have the same number in a new full view,
+// and the others for departureRetention. The caller holds the lock.
+func (v *view) carryDepartures(servers []protocol.Server, now time.Time) {
+	numbers := map[string]uint32{}
+	for _, s := range servers {
+		numbers[s.ID] = s.Number
+	}
+	for id, d := range v.departures {
+		if d.term != v.term || numbers[id] != d.number {
+			d.number, d.term = 0, 0
+			v.departures[id] = d
+		}
 		if !v.departures.leaving(id, v.term, now) {
 			delete(v.departures, id)
 		}
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -10,7 +10,7 @@
 
 // departure is what an entry knows of a server that has said in a response that it leaves.
 type departure struct {
-	// number is the server's number in a broker's term; 0 if that is not known.
+	// number is the server's number under the current broker; 0 if that is not known.
 	number uint32
 	term   uint64
 	// announcedAt is when the server first said so in that term, to this entry.
@@ -21,8 +21,8 @@
 // leave. It reads no clock.
 type departures map[string]departure
 
-// departureRetention is how long a departure outlasts the term in which the server has announced
-// it. By then the next broker knows of it; the server may have restarted meanwhile.
+// departureRetention is how long a departure outlasts the broker under which the server has announced
+// it. By then the next one knows of it; the server may have restarted meanwhile.
 const departureRetention = 30 * time.Second
 
 // leaving reports whether a server has said that it leaves, given the term of the known servers.
