--- a/gateway/accepting.go
+++ b/gateway/accepting.go
@@ -48,9 +48,8 @@
 		numbers[s.ID] = s.Number
 	}
 	for id, d := range v.departures {
-		if d.term != v.term || numbers[id] != d.number {
-			d.number, d.term = 0, 0
-			v.departures[id] = d
+		if d.term != 0 && (d.term != v.term || numbers[id] != d.number) {
+			v.departures[id] = departure{lastSureAt: now}
 		}
 		if !v.departures.leaving(id, v.term, now) {
 			delete(v.departures, id)
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -13,8 +13,8 @@
 	// number is the server's number under the current broker; 0 if that is not known.
 	number uint32
 	term   uint64
-	// announcedAt is when the server first said so in that term, to this entry.
-	announcedAt time.Time
+	// lastSureAt is when the departure was last known to be that of the start that runs now.
+	lastSureAt time.Time
 }
 
 // departures holds, by server identifier, the servers that have said in a response that they
@@ -28,7 +28,7 @@
 // leaving reports whether a server has said that it leaves, given the term of the known servers.
 func (d departures) leaving(server string, term uint64, now time.Time) bool {
 	known, ok := d[server]
-	return ok && (known.term == term || now.Sub(known.announcedAt) < departureRetention)
+	return ok && (known.term == term || now.Sub(known.lastSureAt) < departureRetention)
 }
 
 // saysItLeaves reports whether a response is the expected server's and says that it leaves.
@@ -58,7 +58,7 @@
 	if known, ok := v.departures[s.ID]; ok && known.term == v.serversTerm {
 		return known, false
 	}
-	d = departure{announcedAt: now}
+	d = departure{lastSureAt: now}
 	// The request may have been sent under the broker before, whose numbers mean nothing now.
 	if current := v.servers[s.Number]; current != nil && current.ID == s.ID {
 		d.number, d.term = s.Number, v.serversTerm
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -131,8 +131,12 @@
 		}
 		v.beginTerm(2)
 		v.applyView(protocol.View{Full: true, Servers: at(7)}, time.Now())
+		if v.acceptsRequests(v.server(7), false) {
+			t.Error("used at once by a broker that follows an hour later")
+		}
+		time.Sleep(departureRetention)
 		if !v.acceptsRequests(v.server(7), false) {
-			t.Error("not used by the next broker an hour later")
+			t.Error("not used by the next broker after the retention")
 		}
 		g.observeLeaving(v.server(7), http.StatusOK, backend.Report{Leaving: true}, sendsRequest)
 		v.beginTerm(3)
