review: entries of an older build lose the coordinators of the current one (case 5)

Messages between processes are arrays by position and the codec rejects another length, so entries of build find no broker once the coordinators run the current build, and serve an old configuration.

--- a/review/_kit/corereplaced.go
+++ b/review/_kit/corereplaced.go
@@ -44,6 +44,12 @@
 			time.Sleep(replacementInterval - time.Second)
 		}
 	}
+	return configurationReaches(w, o, gateways)
+}
+
+// configurationReaches declares a configuration that replaces the route /old/ by /new/, and
+// returns the requests that the gateways handle by the older one when it must be in force.
+func configurationReaches(w *world, o *operator, gateways []*process) []string {
 	time.Sleep(contactWindow)
 	if !o.send("configuration.put", "", configuration(2, "orders", "shop.example", "/new/", "safe", 2500), 20*time.Second) {
 		cannotRun("the second configuration was not acknowledged")
--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -15,6 +15,7 @@
 	"core-replaced": coreReplaced,
 	"late-order":    lateOrder,
 	"extra-answer":  extraAnswer,
+	"upgrade":       upgrade,
 	"double-slash":  doubleSlash,
 	"first-start":   firstStart,
 }
--- a/review/_kit/world.go
+++ b/review/_kit/world.go
@@ -28,6 +28,16 @@
 	evacuationBound = 5 * time.Second
 )
 
+// currentBuild is the build of the deploy file, and oldBuild that of the commit that
+// review/build.sh names.
+const (
+	currentBuild = "target/tanagerbarrow"
+	oldBuild     = "target/review-old/tanagerbarrow"
+)
+
+// gracePeriod is the time between SIGTERM and SIGKILL.
+const gracePeriod = 6 * time.Second
+
 // process is one program of the project, started with a command of the deploy file.
 type process struct {
 	name, role, zone, address string
@@ -41,6 +51,8 @@
 	ledAt, stoppedAt time.Time
 	// removed says that the machine is gone for good.
 	removed bool
+	// binary is the build that the process runs.
+	binary string
 }
 
 // world is a small deployment on loopback addresses.
@@ -137,6 +149,7 @@
 	first := map[string]int{"coordinator": 10, "gateway": 40}[role]
 	p := &process{
 		name: fmt.Sprintf("%s-%d", role, n), role: role, zone: zone, address: fmt.Sprintf("%s%d", w.net, first+n),
+		binary: currentBuild,
 	}
 	p.folder = filepath.Join(w.folder, p.name)
 	if err := os.MkdirAll(filepath.Join(p.folder, "data"), 0o700); err != nil {
@@ -170,6 +183,19 @@
 	w.mu.Unlock()
 }
 
+// roll stops a process as the platform does and starts it again with a build.
+func (w *world) roll(p *process, binary string) {
+	w.signal(p, syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(gracePeriod):
+		w.signal(p, syscall.SIGKILL)
+		<-p.done
+	}
+	p.binary = binary
+	w.start(p, false)
+}
+
 // updateSettings writes the settings of a process anew and sends it SIGHUP.
 func (w *world) updateSettings(p *process) {
 	w.writeSettings(p, false)
@@ -231,7 +257,7 @@
 // start starts a process.
 func (w *world) start(p *process, first bool) {
 	path := w.writeSettings(p, first)
-	c := exec.Command("target/tanagerbarrow", p.role)
+	c := exec.Command(p.binary, p.role)
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TANAGERBARROW_NODE_FILE=" + path}
 	c.Stderr = w.logs
 	out, err := c.StdoutPipe()
@@ -245,7 +271,7 @@
 	p.mu.Lock()
 	p.command, p.done = c, done
 	p.mu.Unlock()
-	w.record.say("%s starts", p.name)
+	w.record.say("%s starts, %s", p.name, p.binary)
 	go func() {
 		p.readLog(out, w.logs)
 		_ = c.Wait()
