--- a/review/_kit/extraanswer.go
+++ b/review/_kit/extraanswer.go
@@ -23,16 +23,16 @@
 	}
 	// The endpoints are in zone zb; its gateway checks them.
 	var gateways []*process
-	for range 12 {
+	for range 15 {
 		gateways = append(gateways, w.addProcess("gateway", "za"))
 	}
 	w.addProcess("gateway", "zb")
 	w.startAll(newOperator(w), configuration(1, "orders", "shop.example", "/orders/", "unsafe", 4000))
 	log := &runLog{}
-	const endpoints = 8
+	const endpoints = 10
 	for n := range endpoints {
 		e := startEndpoint(w, log, fmt.Sprintf("i-%d", n), "orders", "zb", 2, func() time.Duration { return 800 * time.Millisecond })
-		if w.trouble && float64(n) < extraServers*endpoints {
+		if w.trouble && float64(n+1) <= extraServers*endpoints {
 			e.extra = func(bool) bool { return rand.Float64() < extraAnswers }
 		}
 		go e.beat("ready")
