--- a/review/_kit/extraanswer.go
+++ b/review/_kit/extraanswer.go
@@ -13,8 +13,16 @@
 const (
 	extraServers = 0.6
 	extraAnswers = 0.03
+	// extraSpan is how long it lasts at a time, and extraPause the time until it comes again.
+	extraSpan  = 5 * time.Second
+	extraPause = time.Second
 )
 
+// inExtraSpan reports whether endpoints send extra answers now.
+func inExtraSpan(started time.Time) bool {
+	return time.Since(started)%(extraSpan+extraPause) < extraSpan
+}
+
 // extraAnswer lets some endpoints send a second copy of some answers late, at the point where
 // the next answer on the connection is expected. No client may get such a copy.
 func extraAnswer(w *world) []string {
@@ -30,10 +38,11 @@
 	w.startAll(newOperator(w), configuration(1, "orders", "shop.example", "/orders/", "unsafe", 4000))
 	log := &runLog{}
 	const endpoints = 10
+	started := time.Now()
 	for n := range endpoints {
 		e := startEndpoint(w, log, fmt.Sprintf("i-%d", n), "orders", "zb", 2, func() time.Duration { return 800 * time.Millisecond })
 		if w.trouble && float64(n+1) <= extraServers*endpoints {
-			e.extra = func(bool) bool { return rand.Float64() < extraAnswers }
+			e.extra = func(bool) bool { return inExtraSpan(started) && rand.Float64() < extraAnswers }
 		}
 		go e.beat("ready")
 	}
