Log and measure how long an entry has been without a broker

An entry that searched for a broker left no line between broker_lost and broker_found: neither its log nor its metrics told whether it knew no control host that runs, was refused by those that it knew, or reached hosts that don't lead.

Each 5 s of a search the event broker_search now names the control hosts that are connected and those that are unreachable, for how long the broker has been lost and with which configuration. Metrics hold the time without a broker, the number of known control hosts and the version in force. The time counts suspensions.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,7 @@
 	}
 	g.view = newView(o.Decode, o.Settings.Regions)
 	g.session = newSession(o.Settings, g.view, o.Log)
+	g.session.registerMetrics(o.Metrics)
 	g.pauses = newPauseDetector(boottime.Now, g.handlePause)
 	g.checker = newChecker(g.view, o.Dialect, o.Settings.Bounds.HealthChecksPerSecond, g.session.reportSamples)
 	g.checker.recordLimit = g.recordLimit
@@ -176,7 +177,7 @@
 // brings the whole view.
 func (g *Gateway) handlePause(paused time.Duration) {
 	g.log.Warn().Str("event", "paused").Dur("for_ms", paused).Send()
-	g.session.closeConnection()
+	g.session.closeAfterPause(paused)
 }
 
 // random returns a random number from 0 to 1.
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -40,14 +40,17 @@
 	search := &brokerSearch{
 		session: s, ctx: searchCtx, end: end, hostsAdded: make(chan struct{}, 1), connected: map[string]bool{},
 	}
-	ticker := time.NewTicker(searchInterval)
+	ticker, reports := time.NewTicker(searchInterval), time.NewTicker(searchReportInterval)
 	defer ticker.Stop()
+	defer reports.Stop()
 	for searchCtx.Err() == nil {
 		search.dialAll(ctx)
 		select {
 		case <-searchCtx.Done():
 		case <-search.hostsAdded:
 		case <-ticker.C:
+		case <-reports.C:
+			search.report()
 		}
 	}
 }
@@ -55,9 +58,7 @@
 // dialAll dials each control host to which no connection is open. Connections that
 // become the session's end with ctx.
 func (b *brokerSearch) dialAll(ctx context.Context) {
-	b.session.mu.Lock()
-	hosts := slices.Collect(maps.Keys(b.session.controlHosts))
-	b.session.mu.Unlock()
+	hosts := b.session.knownHosts()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, address := range hosts {
@@ -117,6 +118,20 @@
 	delete(b.connected, address)
 }
 
+// connectedHosts returns the addresses to which a connection is open, in sorted order.
+func (b *brokerSearch) connectedHosts() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Sorted(maps.Keys(b.connected))
+}
+
+// knownHosts returns the addresses of the known control hosts, in sorted order.
+func (s *session) knownHosts() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.controlHosts))
+}
+
 // addHosts stores the control hosts of a directory, and dials new ones at once.
 func (b *brokerSearch) addHosts(d protocol.Directory) {
 	s := b.session
--- a/gateway/search_test.go
+++ b/gateway/search_test.go
@@ -128,7 +128,7 @@
 	awaitBroker(t, s, second.address)
 	second.mute.Store(true)
 	close(older)
-	s.closeConnection()
+	s.closeAfterPause(0)
 	<-first.subscribed
 	<-first.subscribed
 	if conn := s.activeConn(); conn != nil || s.view.currentTerm() != 5 {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/fleet"
 	"tanagerbarrow/link"
@@ -55,6 +56,9 @@
 
 	mu   sync.Mutex
 	conn *link.Conn
+	// lostSince is when the last broker was lost, or the process started, in
+	// [boottime.Now].
+	lostSince time.Duration
 	// lastReceived is when the broker last sent a message, and suspectSince when
 	// an ask first got no reply since then; zero if none.
 	lastReceived, suspectSince time.Time
@@ -79,7 +83,7 @@
 		controlHosts[seed.String()] = true
 	}
 	return &session{
-		settings: s, view: v, log: log, controlHosts: controlHosts,
+		settings: s, view: v, log: log, controlHosts: controlHosts, lostSince: boottime.Now(),
 		pendingAsks: map[uint64]chan reply{}, heldGrants: map[uint64]string{},
 	}
 }
@@ -129,13 +133,14 @@
 	if s.conn != conn {
 		return
 	}
-	s.conn, s.suspectSince = nil, time.Time{}
+	s.conn, s.suspectSince, s.lostSince = nil, time.Time{}, boottime.Now()
 	s.failPendingAsks()
 	s.log.Warn().Str("event", "broker_lost").AnErr("reason", reason).Send()
 }
 
-// closeConnection closes the connection to the broker, so that run opens another.
-func (s *session) closeConnection() {
+// closeAfterPause closes the connection to the broker after a pause of the process, so
+// that run opens another. The broker counts as lost since the beginning of the pause.
+func (s *session) closeAfterPause(paused time.Duration) {
 	s.mu.Lock()
 	conn := s.conn
 	s.mu.Unlock()
@@ -144,6 +149,9 @@
 	}
 	conn.Close()
 	s.endConnection(conn, errPaused)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostSince = boottime.Now() - paused
 }
 
 // ask asks the broker for a grant and waits for the reply. It returns
