Let running processes follow control hosts that are replaced

Callers saw entries that served with old configurations, servers and zones until they were restarted, once each of the first control hosts had been replaced and the leader went last: dropped routes ran, new ones got 404, an evacuated zone got requests.

An entry learned of control hosts from the seeds at its start, and from directories, which a control host sent at a hello and when its own lead began or ended. An entry is connected to the leader alone, so it heard of no host that joined while that one led.

Control hosts now send the directory to their entries whenever it changes. It names the members of the log and the hosts that the sender has met itself; what others name is dialled, but not passed on, so that replaced hosts are forgotten. The broker's directory replaces what an entry knew before. Every process follows its settings file and uses new seeds at once. The directory keeps its layout; older entries read it at any time.

The same cause was found in control hosts that were away while all others were replaced, in lists and links that grew with each replacement, and in addresses that another deployment uses by now.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -32,6 +32,7 @@
 	5001: "a request that was given up while a silent link held it reached its server 3.9 s after the server had left",
 	4016: "a check held an entry to a pause that a server had asked its earlier process for, while that one was stopping",
 	4043: "the same as 4016",
+	9:    "entries lost the control hosts after all of them had been replaced, the leader last",
 	226:  "the processes of an aborted run with the same seed still held its addresses; beside a busy disk, a broker that started anew in its term made an entry forget a backoff",
 }
 
@@ -92,6 +93,7 @@
 	}
 	injectors.Wait()
 	h.waitUntilServed()
+	h.checkEntriesFollow()
 	time.Sleep(time.Second)
 	close(stop)
 	callers.Wait()
--- a/bench/soak/strike_test.go
+++ b/bench/soak/strike_test.go
@@ -52,10 +52,14 @@
 
 // injectControlFaults kills, stops and pauses control hosts, deletes the data of one,
 // and sometimes kills all at once. It deletes the data of at most one host at a time,
-// and only while all others run.
+// and only while all others run. Some runs replace all hosts in between.
 func injectControlFaults(h *harness, _ []*server, end time.Time) {
-	random := h.randomFor(2)
-	for time.Now().Before(end) {
+	random, turns, turnover := h.randomFor(2), h.randomFor(20), newTurnover(h)
+	for time.Now().Before(end) || len(turnover.remaining) > 0 {
+		if turnover.due(turns, !time.Now().Before(end)) {
+			turnover.replaceNext()
+			continue
+		}
 		p := h.processes[random.IntN(controlCount)]
 		switch random.IntN(6) {
 		case 0:
@@ -68,7 +72,7 @@
 			h.signal(p, syscall.SIGKILL)
 			h.restart(p, true)
 			// Data is deleted again only after this host is a full replica again.
-			time.Sleep(3 * time.Second)
+			time.Sleep(catchUpTime)
 		case 4:
 			for _, control := range h.processes[:controlCount] {
 				h.signal(control, syscall.SIGKILL)
--- a/bench/soak/world_test.go
+++ b/bench/soak/world_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Limits from the deployment's settings, and the size of a run.
@@ -51,14 +53,16 @@
 // harness runs the processes of one seed and records what callers and backend
 // servers see.
 type harness struct {
-	t          *testing.T
-	seed       uint64
-	random     *rand.Rand
-	binary     string
-	folder     string
-	basePort   int
-	executions *executionLog
-	client     *http.Client
+	t        *testing.T
+	seed     uint64
+	random   *rand.Rand
+	binary   string
+	folder   string
+	basePort int
+	// addressPrefix begins the addresses of all processes.
+	addressPrefix string
+	executions    *executionLog
+	client        *http.Client
 
 	mu                 sync.Mutex
 	processes          []*process
@@ -106,6 +110,7 @@
 	}
 	h.logs, _ = os.Create(filepath.Join(h.folder, "logs.jsonl"))
 	base := fmt.Sprintf("127.%d.%d.", 10+seed%100, (seed/100)%250)
+	h.addressPrefix = base
 	for n := range controlCount {
 		h.processes = append(h.processes, &process{
 			name: fmt.Sprint("core-", n), role: "coordinator", address: fmt.Sprint(base, 10+n), zone: zones[n%len(zones)],
@@ -128,6 +133,8 @@
 
 // settingsOf returns the settings file of a process.
 func (h *harness) settingsOf(p *process, bootstrap bool) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	listen := fmt.Sprintf("control: %q", fmt.Sprintf("%s:%d", p.address, h.basePort+1))
 	if p.role == "gateway" {
 		listen = fmt.Sprintf("front: %q, readinessAddress: %q",
@@ -154,11 +161,24 @@
 `, p.name, p.address, p.zone, regionOf(p.zone), listen, h.basePort+10, h.basePort+12, strings.Join(seeds, ", "), bootstrap, memoryMB, p.data)
 }
 
+// writeSettings replaces the settings file of a process.
+func (h *harness) writeSettings(p *process, bootstrap bool) {
+	f, err := os.CreateTemp(h.folder, p.name+"-*.next")
+	if err == nil {
+		_, err = f.WriteString(h.settingsOf(p, bootstrap))
+		err = errors.CombineErrors(err, f.Close())
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), p.settings)
+	}
+	if err != nil {
+		h.t.Error(err)
+	}
+}
+
 // start writes the settings of a process and starts it.
 func (h *harness) start(p *process, bootstrap bool) {
-	if err := os.WriteFile(p.settings, []byte(h.settingsOf(p, bootstrap)), 0o600); err != nil {
-		h.t.Fatal(err)
-	}
+	h.writeSettings(p, bootstrap)
 	c := exec.Command(h.binary, p.role)
 	c.Env = append(os.Environ(), "TANAGERBARROW_NODE_FILE="+p.settings)
 	c.Stdout, c.Stderr = h.logs, h.logs
@@ -241,7 +261,9 @@
 // callControlAt calls one control host and returns the status and body of its answer;
 // the status is 0 if there is none.
 func (h *harness) callControlAt(p *process, query string, body []byte) (int, []byte) {
+	h.mu.Lock()
 	address := fmt.Sprintf("http://%s:%d/tanagerbarrow/rpc?call=%s", p.address, h.basePort+1, query)
+	h.mu.Unlock()
 	res, err := h.client.Post(address, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
--- a/cmd/tanagerbarrow/deployment.go
+++ b/cmd/tanagerbarrow/deployment.go
@@ -19,6 +19,7 @@
 	"tanagerbarrow/fleet"
 	"tanagerbarrow/gateway"
 	"tanagerbarrow/platform"
+	"tanagerbarrow/reload"
 	"tanagerbarrow/serving"
 	"tanagerbarrow/settings"
 	"tanagerbarrow/telemetry"
@@ -50,7 +51,7 @@
 
 // runDeployment loads the settings of the deployment's platform and runs a gateway
 // or coordinator process until SIGINT or SIGTERM.
-func runDeployment(role string, start func(context.Context, *fleet.Settings, zerolog.Logger, *metrics.Set) error) {
+func runDeployment(role string, start func(context.Context, *fleet.Settings, followSeeds, zerolog.Logger, *metrics.Set) error) {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -62,9 +63,8 @@
 	go serveMetrics(s, set, log)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	go logReloadSignals(log)
 	log.Info().Str("event", "started").Int64("memory_bytes", s.MemoryBytes).Bool("first_start", s.FirstStart).Send()
-	err = start(ctx, s, log, set)
+	err = start(ctx, s, newFollowSeeds(ctx, s, log), log, set)
 	log.Info().Str("event", "stopped").AnErr("reason", err).Send()
 	time.Sleep(logFlushDelay)
 	if err != nil {
@@ -76,14 +76,20 @@
 // standard output before the process exits.
 const logFlushDelay = 20 * time.Millisecond
 
-// logReloadSignals logs each SIGHUP, the signal to reload the settings. It reloads
-// nothing: the only setting that may change while a process runs is the seeds, and
-// they are used only at the start.
-func logReloadSignals(log zerolog.Logger) {
+// followSeeds calls setSeeds with the peer addresses of the seeds whenever the settings file
+// names others, until the process ends.
+type followSeeds func(setSeeds func([]netip.AddrPort))
+
+// newFollowSeeds returns a followSeeds that also reads the file after each SIGHUP.
+func newFollowSeeds(ctx context.Context, s *fleet.Settings, log zerolog.Logger) followSeeds {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	for range hup {
-		log.Info().Str("event", "reload").Send()
+	return func(setSeeds func([]netip.AddrPort)) {
+		w := &reload.Watcher{
+			Read: platform.ReadSettings, Parse: platform.ParseSettings, Current: s, Log: log,
+			SetSeeds: func(next *fleet.Settings) { setSeeds(next.SeedPeers()) },
+		}
+		go w.Run(ctx, hup)
 	}
 }
 
@@ -104,15 +110,17 @@
 }
 
 // startGateway runs an entry process until ctx is canceled.
-func startGateway(ctx context.Context, s *fleet.Settings, log zerolog.Logger, set *metrics.Set) error {
-	return gateway.New(gateway.Options{
+func startGateway(ctx context.Context, s *fleet.Settings, follow followSeeds, log zerolog.Logger, set *metrics.Set) error {
+	g := gateway.New(gateway.Options{
 		Settings: s, Dialect: platform.Dialect(), Decode: platform.DecodeConfiguration,
 		ReadinessPath: platform.ReadinessPath, Log: log, Metrics: set,
-	}).Run(ctx)
+	})
+	follow(g.SetSeeds)
+	return g.Run(ctx)
 }
 
 // startCoordinator runs a control process and its control API until ctx is canceled.
-func startCoordinator(ctx context.Context, s *fleet.Settings, log zerolog.Logger, set *metrics.Set) error {
+func startCoordinator(ctx context.Context, s *fleet.Settings, follow followSeeds, log zerolog.Logger, set *metrics.Set) error {
 	c, err := coordinator.New(coordinator.Options{
 		Settings: s, Decode: platform.DecodeConfiguration, Log: log, Metrics: set,
 	})
@@ -130,6 +138,7 @@
 			log.Error().Str("event", "control_not_served").Err(err).Send()
 		}
 	}()
+	follow(c.SetSeeds)
 	err = c.Run(ctx)
 	if shutdownErr := server.Shutdown(shutdownTimeout); shutdownErr != nil {
 		log.Warn().Str("event", "control_calls_cut").Err(shutdownErr).Send()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -79,6 +79,8 @@
 	// inbound holds the connections that entries and other control hosts have
 	// opened to this host.
 	inbound map[*inboundLink]bool
+	// announcedHosts are the control hosts of the directory that all connected entries have.
+	announcedHosts []protocol.ControlHost
 	// lastForwarded holds, by server ID, when a heartbeat was last forwarded to
 	// the leader.
 	lastForwarded map[string]time.Time
@@ -170,6 +172,9 @@
 	}
 }
 
+// SetSeeds replaces the peer addresses of the seeds. It may be called while the host runs.
+func (c *Coordinator) SetSeeds(seeds []netip.AddrPort) { c.mesh.setSeeds(seeds) }
+
 // leading returns the leader that runs on this host, or nil if this host doesn't
 // lead.
 func (c *Coordinator) leading() *leader {
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -115,11 +115,11 @@
 // sendToLeader sends a message to the leading host. It drops the message if no
 // leader is known and connected, or if this host leads.
 func (c *Coordinator) sendToLeader(kind link.Kind, v any) {
-	d := c.directory()
-	if d.LeaderAddress == "" || d.LeaderAddress == c.self.PeerAddress {
+	address, _ := c.leaderAddress()
+	if address == "" || address == c.self.PeerAddress {
 		return
 	}
-	if conn := c.mesh.outboundTo(d.LeaderAddress).open(); conn != nil {
+	if conn := c.mesh.outboundTo(address).open(); conn != nil {
 		_ = conn.Send(kind, v)
 	}
 }
--- a/coordinator/mesh.go
+++ b/coordinator/mesh.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +28,13 @@
 	redialDelay = 60 * time.Millisecond
 )
 
+// maxKnownHosts bounds the control hosts that are known by the directories of others.
+const maxKnownHosts = 64
+
+// forgetDelay is the time without contact after which a control host that isn't a member
+// of the log is forgotten. It is many times the duration of a restart.
+const forgetDelay = 30 * time.Second
+
 // mesh holds the known control hosts and transports the messages of the
 // replicas. It implements [consensus.Transport].
 type mesh struct {
@@ -33,10 +43,23 @@
 	dial func(ctx context.Context, address string) (*link.Conn, error)
 
 	mu       sync.Mutex
-	hosts    map[string]protocol.ControlHost
+	seeds    []netip.AddrPort
+	hosts    map[string]*knownHost
 	outbound map[string]*outboundLink
 }
 
+// knownHost is a control host by its name.
+type knownHost struct {
+	protocol.ControlHost
+
+	// met says that the host itself was in contact, and not only named by another one's
+	// directory. Directories name only such hosts, so that no host is named for ever
+	// after it was removed.
+	met bool
+	// contactAt is when the host was last in contact, or was first named.
+	contactAt time.Time
+}
+
 // outboundLink is the connection to one peer address.
 type outboundLink struct {
 	mu   sync.Mutex
@@ -45,13 +68,15 @@
 	dialCount int
 	dialing   bool
 	failedAt  time.Time
+	// peer is the name of the host that sent its directory on conn; empty before.
+	peer string
 }
 
 // newMesh returns a mesh whose only known host is this one.
 func newMesh(c *Coordinator) *mesh {
 	return &mesh{
-		c: c, ctx: context.Background(), dial: link.Dial,
-		hosts: map[string]protocol.ControlHost{c.self.Name: c.self}, outbound: map[string]*outboundLink{},
+		c: c, ctx: context.Background(), dial: link.Dial, seeds: c.options.Settings.SeedPeers(),
+		hosts: map[string]*knownHost{c.self.Name: {ControlHost: c.self, met: true}}, outbound: map[string]*outboundLink{},
 	}
 }
 
@@ -60,7 +85,10 @@
 	m.ctx = ctx
 	m.c.goroutines.Go(func() {
 		for ctx.Err() == nil {
-			m.connectAll()
+			members := m.c.node.Status().Members.All()
+			m.forgetHosts(time.Now(), members)
+			m.connectAll(members)
+			m.c.announceHosts()
 			select {
 			case <-ctx.Done():
 			case <-time.After(discoveryInterval):
@@ -70,50 +98,128 @@
 }
 
 // connectAll connects to the seeds, to the members of the log and to each known
-// host.
-func (m *mesh) connectAll() {
-	for _, member := range m.c.node.Status().Members.All() {
-		if member.Address != "" && member.Address != m.c.self.PeerAddress {
-			m.outboundTo(member.Address).connect(m, member.Address)
-		}
+// host, and drops the links to other addresses that are closed.
+func (m *mesh) connectAll(members []raft.Member) {
+	addresses := m.addresses(members)
+	for address := range addresses {
+		m.outboundTo(address).connect(m, address)
 	}
-	for _, seed := range m.c.options.Settings.SeedPeers() {
-		if address := seed.String(); address != m.c.self.PeerAddress {
-			m.outboundTo(address).connect(m, address)
-		}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.outbound, func(address string, o *outboundLink) bool { return !addresses[address] && o.unused() })
+}
+
+// addresses returns the addresses of all other control hosts that are known.
+func (m *mesh) addresses(members []raft.Member) map[string]bool {
+	all := map[string]bool{}
+	for _, member := range members {
+		all[member.Address] = true
 	}
-	for _, h := range m.knownHosts() {
-		if h.Name != m.c.self.Name {
-			m.outboundTo(h.PeerAddress).connect(m, h.PeerAddress)
-		}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, seed := range m.seeds {
+		all[seed.String()] = true
 	}
+	for _, h := range m.hosts {
+		all[h.PeerAddress] = true
+	}
+	delete(all, "")
+	delete(all, m.c.self.PeerAddress)
+	return all
 }
 
-// addHost adds or updates a known control host.
-func (m *mesh) addHost(h protocol.ControlHost) {
+// setSeeds replaces the peer addresses of the seeds. An empty list changes nothing.
+func (m *mesh) setSeeds(seeds []netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if known, ok := m.hosts[h.Name]; !ok || known != h {
+	if len(seeds) > 0 {
+		m.seeds = seeds
+	}
+}
+
+// meet adds or updates a control host that was in contact. It returns an error if the
+// host belongs to another deployment.
+func (m *mesh) meet(h protocol.ControlHost) error {
+	if err := m.check(h); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known, ok := m.hosts[h.Name]; !ok || !known.met || known.ControlHost != h {
 		m.c.log.Info().Str("event", "control_host_found").Str("peer_host", h.Name).Str("address", h.PeerAddress).Send()
-		m.hosts[h.Name] = h
 	}
+	m.hosts[h.Name] = &knownHost{ControlHost: h, met: true, contactAt: time.Now()}
+	return nil
+}
+
+// suggest adds a control host that another one has named. It changes nothing about a host
+// that was in contact, since the other one may know an older address.
+func (m *mesh) suggest(h protocol.ControlHost) {
+	if m.check(h) != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.hosts[h.Name]
+	if ok && (known.met || known.ControlHost == h) || !ok && len(m.hosts) >= maxKnownHosts {
+		return
+	}
+	m.hosts[h.Name] = &knownHost{ControlHost: h, contactAt: time.Now()}
+}
+
+// check returns an error for a host that can't belong to this deployment.
+func (m *mesh) check(h protocol.ControlHost) error {
+	regions := m.c.options.Settings.Regions
+	if _, known := regions[h.AvailabilityZone]; !known && len(regions) > 0 {
+		return errors.Newf("control host %q is located in zone %q of another deployment", h.Name, h.AvailabilityZone)
+	}
+	if h.Name == "" || h.Name == m.c.self.Name {
+		return errors.Newf("another control host has the name %q", h.Name)
+	}
+	_, err := netip.ParseAddrPort(h.PeerAddress)
+	return errors.Wrapf(err, "control host %q", h.Name)
 }
 
-// knownHosts returns the known control hosts, including this one.
+// forgetHosts removes the hosts without contact for forgetDelay that are not members of
+// the log.
+func (m *mesh) forgetHosts(now time.Time, members []raft.Member) {
+	keep := map[string]bool{m.c.self.Name: true}
+	for _, member := range members {
+		keep[member.Name] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, h := range m.hosts {
+		if o := m.outbound[h.PeerAddress]; keep[name] || o != nil && o.openTo(name) {
+			h.contactAt = now
+		}
+		if now.Sub(h.contactAt) > forgetDelay {
+			m.c.log.Info().Str("event", "control_host_forgotten").Str("peer_host", name).Str("address", h.PeerAddress).Send()
+			delete(m.hosts, name)
+		}
+	}
+}
+
+// knownHosts returns the control hosts that were in contact, including this one, in the
+// order of their names.
 func (m *mesh) knownHosts() []protocol.ControlHost {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var all []protocol.ControlHost
-	for _, h := range m.hosts {
-		all = append(all, h)
+	for _, name := range slices.Sorted(maps.Keys(m.hosts)) {
+		if h := m.hosts[name]; h.met {
+			all = append(all, h.ControlHost)
+		}
 	}
 	return all
 }
 
-// members returns the known control hosts as members of the group.
+// members returns all control hosts that are known or named as members of the group.
 func (m *mesh) members() []raft.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var all []raft.Member
-	for _, h := range m.knownHosts() {
+	for _, h := range m.hosts {
 		all = append(all, raft.Member{Name: h.Name, Address: h.PeerAddress})
 	}
 	return all
@@ -146,6 +252,26 @@
 	}
 }
 
+// openTo reports whether the connection is open and leads to the host with the name.
+func (o *outboundLink) openTo(name string) bool {
+	if o.open() == nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.peer == name
+}
+
+// unused reports whether there is neither a connection nor a dial.
+func (o *outboundLink) unused() bool {
+	if o.open() != nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.dialing
+}
+
 // connect dials in the background unless the connection is open, a dial is
 // running or one has just failed.
 func (o *outboundLink) connect(m *mesh, address string) {
@@ -180,7 +306,7 @@
 	go func() {
 		conn, err := m.dial(m.ctx, address)
 		if o.finishDial(dialNumber, conn, err) {
-			m.runOutbound(conn)
+			m.runOutbound(o, conn, address)
 		}
 	}()
 }
@@ -201,13 +327,13 @@
 		o.failedAt = time.Now()
 		return false
 	}
-	o.conn = conn
+	o.conn, o.peer = conn, ""
 	return true
 }
 
-// runOutbound sends this host's hello on a connection and reads directories from
-// it until it closes.
-func (m *mesh) runOutbound(conn *link.Conn) {
+// runOutbound sends this host's hello on the connection to an address and reads
+// directories from it until it closes.
+func (m *mesh) runOutbound(o *outboundLink, conn *link.Conn, address string) {
 	hello := protocol.Hello{
 		Name: m.c.self.Name, AvailabilityZone: m.c.self.AvailabilityZone,
 		ControlHost: &m.c.self,
@@ -219,14 +345,33 @@
 	err := conn.Run(func(kind link.Kind, body []byte) {
 		var d protocol.Directory
 		if kind == protocol.KindDirectory && link.Decode(body, &d) == nil {
-			for _, h := range d.Hosts {
-				m.addHost(h)
-			}
+			m.receiveDirectory(o, conn, address, d)
 		}
 	}, nil)
 	m.c.log.Info().Str("event", "control_link_lost").Str("address", conn.RemoteAddr().String()).AnErr("reason", err).Send()
 }
 
+// receiveDirectory stores the hosts of the directory that the host at an address has sent.
+// It closes the connection to a host of another deployment.
+func (m *mesh) receiveDirectory(o *outboundLink, conn *link.Conn, address string, d protocol.Directory) {
+	for _, h := range d.Hosts {
+		if h.PeerAddress != address {
+			continue
+		}
+		if err := m.meet(h); err != nil {
+			m.c.log.Warn().Str("event", "control_host_refused").Str("address", address).Err(err).Send()
+			conn.Close()
+			return
+		}
+		o.mu.Lock()
+		o.peer = h.Name
+		o.mu.Unlock()
+	}
+	for _, h := range d.Hosts {
+		m.suggest(h)
+	}
+}
+
 // Send sends one-way messages. It never blocks; without a connection it drops
 // them and starts a dial.
 func (m *mesh) Send(to raft.Member, e consensus.Envelope) {
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -30,6 +30,7 @@
 		return 0
 	})
 	set.NewGauge("tanagerbarrow_voters", func() float64 { return float64(len(c.node.Status().Voters)) })
+	set.NewGauge("tanagerbarrow_control_hosts_known", func() float64 { return float64(len(c.mesh.knownHosts())) })
 	set.NewGauge("tanagerbarrow_applied_index", func() float64 { return float64(c.node.Status().AppliedIndex) })
 	return &hostMetrics{
 		set: set, grants: set.NewCounter("tanagerbarrow_grants_total"),
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,36 +88,78 @@
 		return err
 	}
 	if h := in.hello.ControlHost; h != nil {
-		c.mesh.addHost(*h)
+		if err := c.mesh.meet(*h); err != nil {
+			in.conn.Close()
+			return err
+		}
 		c.mesh.outboundTo(h.PeerAddress).reconnect(c.mesh, h.PeerAddress)
 	}
 	c.mu.Lock()
 	c.inbound[in] = true
 	c.mu.Unlock()
+	if in.hello.ControlHost == nil {
+		return in.conn.Send(protocol.KindDirectory, c.entryDirectory())
+	}
 	return in.conn.Send(protocol.KindDirectory, c.directory())
 }
 
 // directory returns the known control hosts, the known leader and the term.
 func (c *Coordinator) directory() protocol.Directory {
 	d := protocol.Directory{Hosts: c.mesh.knownHosts()}
+	d.LeaderAddress, d.Term = c.leaderAddress()
+	return d
+}
+
+// leaderAddress returns the peer address of the known leader, empty if there is none, and
+// the term.
+func (c *Coordinator) leaderAddress() (string, uint64) {
 	if l := c.leading(); l != nil {
-		d.LeaderAddress, d.Term = c.self.PeerAddress, l.term
-		return d
+		return c.self.PeerAddress, l.term
 	}
 	s := c.node.Status()
-	d.Term = s.Term
-	for _, h := range d.Hosts {
+	for _, h := range c.mesh.knownHosts() {
 		if h.Name == s.Leader && h.Name != c.self.Name {
-			d.LeaderAddress = h.PeerAddress
+			return h.PeerAddress, s.Term
+		}
+	}
+	return "", s.Term
+}
+
+// entryDirectory returns the directory for entries. It names the members of the log as
+// well that were not in contact, because one of them may lead next.
+func (c *Coordinator) entryDirectory() protocol.Directory {
+	d := c.directory()
+	known := map[string]bool{}
+	for _, h := range d.Hosts {
+		known[h.Name] = true
+	}
+	for _, member := range c.node.Status().Members.All() {
+		if !known[member.Name] && member.Address != "" {
+			known[member.Name] = true
+			d.Hosts = append(d.Hosts, protocol.ControlHost{Name: member.Name, PeerAddress: member.Address})
 		}
 	}
 	return d
 }
 
+// announceHosts sends the directory to all entries if its hosts have changed since the
+// last time. An entry is connected to the leader alone and would otherwise not learn of
+// hosts that join while that one leads.
+func (c *Coordinator) announceHosts() {
+	hosts := c.entryDirectory().Hosts
+	c.mu.Lock()
+	changed := !slices.Equal(hosts, c.announcedHosts)
+	c.announcedHosts = hosts
+	c.mu.Unlock()
+	if changed {
+		c.announceLeader()
+	}
+}
+
 // announceLeader sends the directory, which names the leader, to all connected
 // entries.
 func (c *Coordinator) announceLeader() {
-	d := c.directory()
+	d := c.entryDirectory()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for in := range c.inbound {
@@ -132,7 +175,7 @@
 	l := c.leading()
 	if l == nil {
 		if kind == protocol.KindSubscribe {
-			return in.conn.Send(protocol.KindDirectory, c.directory())
+			return in.conn.Send(protocol.KindDirectory, c.entryDirectory())
 		}
 		return nil
 	}
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -21,6 +21,8 @@
 	subscribed bool
 	// subscribedPath is the path that the subscription reported.
 	subscribedPath protocol.Path
+	// directory is the last directory that the host has sent.
+	directory protocol.Directory
 	// handshakeTimer closes the connection if no welcome follows the subscription.
 	handshakeTimer *time.Timer
 }
@@ -90,14 +92,19 @@
 
 // handleDirectory stores the addresses of the control hosts, and subscribes if this
 // host is the leader. The connection to a host that doesn't lead stays open during a
-// search, because the host sends a directory as soon as it leads.
+// search, because the host sends a directory as soon as it leads. The broker sends its
+// directory whenever control hosts were added or removed.
 func (c *controlConn) handleDirectory(body []byte) error {
 	var d protocol.Directory
 	if err := link.Decode(body, &d); err != nil {
 		return err
 	}
-	c.search.addHosts(d)
+	if err := c.session.controlHosts.verify(c.address, d); err != nil {
+		return err
+	}
+	c.directory = d
 	if d.LeaderAddress != c.address {
+		c.search.addHosts(d)
 		c.subscribed = false
 		c.stopHandshakeTimer()
 		if c.active() {
@@ -105,6 +112,11 @@
 		}
 		return nil
 	}
+	if c.active() {
+		c.session.useDirectory(d)
+		return nil
+	}
+	c.search.addHosts(d)
 	if c.subscribed {
 		return nil
 	}
@@ -115,6 +127,14 @@
 	return c.conn.Send(protocol.KindSubscribe, m)
 }
 
+// useDirectory stores the control hosts that the broker knows and forgets all others but
+// the seeds.
+func (s *session) useDirectory(d protocol.Directory) {
+	if s.controlHosts.replace(d) {
+		s.log.Info().Str("event", "control_hosts_changed").Strs("addresses", s.controlHosts.addresses()).Send()
+	}
+}
+
 // stopHandshakeTimer ends the wait for a welcome.
 func (c *controlConn) stopHandshakeTimer() {
 	if c.handshakeTimer != nil {
@@ -164,6 +184,7 @@
 	if before := c.session.use(c.conn); before != nil {
 		before.Close()
 	}
+	c.session.useDirectory(c.directory)
 	c.session.resendPath(c.subscribedPath)
 	c.session.reportBackoffs(c.session.view.activeBackoffs(time.Now()))
 	c.session.log.Info().Str("event", "broker_found").Str("address", c.address).Uint64("term", w.Term).Send()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -180,6 +181,9 @@
 	g.session.closeAfterPause(paused)
 }
 
+// SetSeeds replaces the peer addresses of the seeds. It may be called while the entry runs.
+func (g *Gateway) SetSeeds(seeds []netip.AddrPort) { g.session.controlHosts.setSeeds(seeds) }
+
 // random returns a random number from 0 to 1.
 func (g *Gateway) random() float64 { return rand.Float64() }
 
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -18,7 +18,7 @@
 		return 1
 	})
 	set.NewGauge("tanagerbarrow_broker_lost_seconds", func() float64 { return s.timeWithoutBroker().Seconds() })
-	set.NewGauge("tanagerbarrow_control_hosts_known", func() float64 { return float64(len(s.knownHosts())) })
+	set.NewGauge("tanagerbarrow_control_hosts_known", func() float64 { return float64(len(s.controlHosts.addresses())) })
 	set.NewGauge("tanagerbarrow_configuration_version", func() float64 { return float64(s.view.version()) })
 }
 
@@ -42,7 +42,7 @@
 func (b *brokerSearch) report() {
 	connected := b.connectedHosts()
 	var unreachable []string
-	for _, address := range b.session.knownHosts() {
+	for _, address := range b.session.controlHosts.addresses() {
 		if !slices.Contains(connected, address) {
 			unreachable = append(unreachable, address)
 		}
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -16,6 +16,10 @@
 // up is lost, and waiting for it would cost most of the time of an election.
 const searchInterval = 80 * time.Millisecond
 
+// maxDialsPerRound bounds the dials of one searchInterval. A search in a deployment whose
+// control hosts were replaced many times stays as cheap as in a new one.
+const maxDialsPerRound = 8
+
 // brokerSearch connects to all control hosts at once until one of them is the broker.
 // Hosts that are down then cost no time, and the entry learns of a new leader from the
 // leader itself.
@@ -30,6 +34,9 @@
 	mu sync.Mutex
 	// connected holds the addresses to which a connection is open.
 	connected map[string]bool
+	// nextDial is the position of the next address to dial if there are more than
+	// maxDialsPerRound.
+	nextDial int
 }
 
 // findBroker searches until there is a connection to a broker or ctx ends. The
@@ -55,17 +62,17 @@
 	}
 }
 
-// dialAll dials each control host to which no connection is open. Connections that
-// become the session's end with ctx.
+// dialAll dials the control hosts to which no connection is open, at most
+// maxDialsPerRound of them. Connections that become the session's end with ctx.
 func (b *brokerSearch) dialAll(ctx context.Context) {
-	hosts := b.session.knownHosts()
+	hosts := b.session.controlHosts.addresses()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, address := range hosts {
-		if !b.connected[address] {
-			go b.connect(ctx, address)
-		}
+	hosts = slices.DeleteFunc(hosts, func(address string) bool { return b.connected[address] })
+	for n := range min(len(hosts), maxDialsPerRound) {
+		go b.connect(ctx, hosts[(b.nextDial+n)%len(hosts)])
 	}
+	b.nextDial += maxDialsPerRound
 }
 
 // connect connects to a control host and receives its messages until the connection
@@ -125,27 +132,10 @@
 	return slices.Sorted(maps.Keys(b.connected))
 }
 
-// knownHosts returns the addresses of the known control hosts, in sorted order.
-func (s *session) knownHosts() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.controlHosts))
-}
-
-// addHosts stores the control hosts of a directory, and dials new ones at once.
+// addHosts stores the control hosts of a directory that is not the broker's, and dials new
+// ones at once.
 func (b *brokerSearch) addHosts(d protocol.Directory) {
-	s := b.session
-	s.mu.Lock()
-	known := len(s.controlHosts)
-	for _, h := range d.Hosts {
-		s.controlHosts[h.PeerAddress] = true
-	}
-	if d.LeaderAddress != "" {
-		s.controlHosts[d.LeaderAddress] = true
-	}
-	added := len(s.controlHosts) > known
-	s.mu.Unlock()
-	if !added {
+	if !b.session.controlHosts.learn(d) {
 		return
 	}
 	select {
--- a/gateway/search_test.go
+++ b/gateway/search_test.go
@@ -64,9 +64,11 @@
 func startSearch(t *testing.T, hosts ...string) *session {
 	s := newSession(&fleet.Settings{}, newView(nil, nil), zerolog.Nop())
 	s.onStateChange, s.onView = func() {}, func() {}
+	var seeds []netip.AddrPort
 	for _, address := range hosts {
-		s.controlHosts[address] = true
+		seeds = append(seeds, netip.MustParseAddrPort(address))
 	}
+	s.controlHosts.setSeeds(seeds)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -43,9 +43,10 @@
 
 // session is the connection to the broker. It is safe for concurrent use.
 type session struct {
-	settings *fleet.Settings
-	view     *view
-	log      zerolog.Logger
+	settings     *fleet.Settings
+	view         *view
+	log          zerolog.Logger
+	controlHosts *controlHosts
 	// assignChecks is called with the health checks that the broker assigns.
 	assignChecks func(protocol.CheckAssignment)
 	// onStateChange is called after each connection to a broker and after each
@@ -63,9 +64,7 @@
 	// an ask first got no reply since then; zero if none.
 	lastReceived, suspectSince time.Time
 
-	// controlHosts holds the addresses of the control hosts.
-	controlHosts map[string]bool
-	nextSeq      uint64
+	nextSeq uint64
 	// pendingAsks are keyed by their sequence numbers, and heldGrants maps the
 	// identifier of a grant to that of its server.
 	pendingAsks map[uint64]chan reply
@@ -78,12 +77,8 @@
 
 // newSession returns a session that is not connected.
 func newSession(s *fleet.Settings, v *view, log zerolog.Logger) *session {
-	controlHosts := map[string]bool{}
-	for _, seed := range s.SeedPeers() {
-		controlHosts[seed.String()] = true
-	}
 	return &session{
-		settings: s, view: v, log: log, controlHosts: controlHosts, lostSince: boottime.Now(),
+		settings: s, view: v, log: log, controlHosts: newControlHosts(s.Regions, s.SeedPeers()), lostSince: boottime.Now(),
 		pendingAsks: map[uint64]chan reply{}, heldGrants: map[uint64]string{},
 	}
 }
