Log pauses of control hosts and each change of the zones that are out

Of an order on a zone the logs held the outcome at the host that was asked, zone_moved. They did not tell which order was in force last, nor that the host had been paused before it read the order; only entries detected pauses. Whether an old order came from a paused host, from the leader's buffer or from a retry could not be seen.

The broker now logs zones_changed when it applies other zones, and a control host logs and counts pauses of half a second or longer, by the clock that counts suspensions.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -141,6 +141,7 @@
 	c.goroutines.Go(func() { c.watchState(ctx) })
 	c.goroutines.Go(func() { c.maintainLease(ctx) })
 	c.goroutines.Go(func() { c.saveChangedRecords(ctx) })
+	c.goroutines.Go(func() { c.watchPauses(ctx) })
 	select {
 	case <-ctx.Done():
 	case <-c.node.Done():
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -335,7 +335,11 @@
 			l.log.Info().Str("event", "server_left").Str("server", s.Record.ID).Str("service", s.Record.Service).Send()
 		}
 	}
-	if zones := !slices.Equal(before, l.zonesOut()); zones || len(gone) > 0 {
+	zones := !slices.Equal(before, l.zonesOut())
+	if zones {
+		l.log.Info().Str("event", "zones_changed").Strs("out", l.zonesOut()).Uint64("revision", state.Revision).Send()
+	}
+	if zones || len(gone) > 0 {
 		l.sendChanges(nil, gone, zones, now)
 	}
 	if state.Document.Version > l.sentDocument.Version && now.Sub(l.documentSentAt) >= documentInterval {
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -12,6 +12,7 @@
 type hostMetrics struct {
 	set           *metrics.Set
 	grants        *metrics.Counter
+	pauses        *metrics.Counter
 	commitSeconds *metrics.Histogram
 }
 
@@ -33,7 +34,7 @@
 	set.NewGauge("tanagerbarrow_control_hosts_known", func() float64 { return float64(len(c.mesh.knownHosts())) })
 	set.NewGauge("tanagerbarrow_applied_index", func() float64 { return float64(c.node.Status().AppliedIndex) })
 	return &hostMetrics{
-		set: set, grants: set.NewCounter("tanagerbarrow_grants_total"),
+		set: set, grants: set.NewCounter("tanagerbarrow_grants_total"), pauses: set.NewCounter("tanagerbarrow_pauses_total"),
 		commitSeconds: set.NewHistogram("tanagerbarrow_commit_seconds"),
 	}
 }
