Execute no order on a zone behind a newer one

Callers saw requests reach a zone whose evacuation was the last order and was acknowledged: an older order to take the zone back had waited in a control host that was paused, and was committed when that host ran again.

An order on a zone carried nothing that tells its age. The log lines of the case show the paused host forward the order 2 ms after its wake, and the leader apply it 1 ms later, though its operator had gone.

The host that is asked now redirects the order to itself with the position of the last committed entry. The leader executes it only if no other order on the zone stands behind that position, one order at a time, in the term in which it was checked. An operator sends a newer order only after giving up the older one, so the newer one stands behind the older one's position wherever that one waits; a request that nobody follows is never executed. No clock is compared.

The order is passed to the leader by a new kind of call.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -173,7 +173,7 @@
 	}
 	last := recovered.Snapshot.Meta.Last.Index
 	if last > 0 {
-		if err := n.options.Machine.Restore(recovered.Snapshot.Data); err != nil {
+		if err := restoreAt(n.options.Machine, last, recovered.Snapshot.Data); err != nil {
 			return errors.Wrapf(err, "restore group %q from the snapshot at index %d", n.options.Group, last)
 		}
 	}
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -1,7 +1,9 @@
 package consensus
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -173,3 +175,42 @@
 		})
 	})
 }
+
+// TestProposeInTermBindsToTheTerm guards against a command that was checked by the state of one
+// leader and is committed by the next one.
+func TestProposeInTermBindsToTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.stop()
+		first := g.leader()
+		term := first.node.Status().Term
+		if _, err := first.node.ProposeInTerm(t.Context(), term, []byte("in its term")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := first.node.ProposeInTerm(t.Context(), term-1, []byte("late")); verdict.Of(err) != verdict.NotRun {
+			t.Errorf("a command of an earlier term: %v", err)
+		}
+		g.setPartitioned(first.name, true)
+		time.Sleep(faultDuration)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := first.node.ProposeInTerm(ctx, term, []byte("cut off")); err == nil {
+			t.Error("a host that was cut off committed a command")
+		}
+		g.setPartitioned(first.name, false)
+		time.Sleep(faultDuration)
+		next := g.leader()
+		if next.node.Status().Term == term {
+			t.Fatal("no other leader was elected")
+		}
+		if _, err := next.node.ProposeInTerm(t.Context(), term, []byte("of the first leader")); verdict.Of(err) != verdict.NotRun {
+			t.Errorf("a command of the first leader's term: %v", err)
+		}
+		if _, err := next.node.Propose(t.Context(), []byte("last")); err != nil {
+			t.Fatal(err)
+		}
+		if got := next.machine.all(); !slices.Equal(got, []string{"in its term", "last"}) {
+			t.Errorf("committed are %q", got)
+		}
+	})
+}
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,8 +42,10 @@
 // proposal is a command that is waiting to be committed and applied.
 type proposal struct {
 	command []byte
-	id      raft.EntryID
-	done    chan outcome
+	// term is the only term in which the command may be proposed; zero for any.
+	term uint64
+	id   raft.EntryID
+	done chan outcome
 }
 
 // read is a linearizable read. Without an index it asks the leader to confirm
@@ -63,18 +66,33 @@
 			"command for group %q has %d bytes, at most %d are allowed", n.options.Group, len(command), maxCommandBytes)
 	}
 	out := n.onLeader(ctx, Request{Group: n.options.Group, Kind: RequestPropose, Command: command},
-		func(ctx context.Context) outcome { return n.proposeLocally(ctx, command) })
+		func(ctx context.Context) outcome { return n.proposeLocally(ctx, command, 0) })
+	return out.result, out.err
+}
+
+// ProposeInTerm commits a command only if this replica leads in the given term. It neither
+// forwards nor repeats the command: what was decided about it by this replica's state holds
+// for no other leader.
+func (n *Node) ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error) {
+	out := n.proposeLocally(ctx, command, term)
 	return out.result, out.err
 }
 
 // ReadBarrier returns once the state machine has applied every command that was
 // committed before the call.
 func (n *Node) ReadBarrier(ctx context.Context) error {
-	out := n.onLeader(ctx, Request{Group: n.options.Group, Kind: RequestRead}, n.readLocally)
-	if out.err != nil {
-		return out.err
+	index, err := n.ReadIndex(ctx)
+	if err != nil {
+		return err
 	}
-	return n.waitApplied(ctx, out.index)
+	return n.waitApplied(ctx, index)
+}
+
+// ReadIndex returns an index of the log that is not below that of any command that was
+// committed before the call.
+func (n *Node) ReadIndex(ctx context.Context) (uint64, error) {
+	out := n.onLeader(ctx, Request{Group: n.options.Group, Kind: RequestRead}, n.readLocally)
+	return out.index, out.err
 }
 
 // HeartbeatReadBarrier is a ReadBarrier that waits for the leader's next
@@ -170,9 +188,9 @@
 }
 
 // proposeLocally queues a command for the run goroutine and waits for its
-// outcome.
-func (n *Node) proposeLocally(ctx context.Context, command []byte) outcome {
-	p := &proposal{command: command, done: make(chan outcome, 1)}
+// outcome. A term other than zero is the only one in which it may be proposed.
+func (n *Node) proposeLocally(ctx context.Context, command []byte, term uint64) outcome {
+	p := &proposal{command: command, term: term, done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
 	default:
@@ -248,6 +266,16 @@
 		batch = append(batch, next)
 		size += len(next.command)
 	}
+	batch = slices.DeleteFunc(batch, func(one *proposal) bool {
+		otherTerm := one.term != 0 && one.term != n.core.Term()
+		if otherTerm {
+			one.done <- outcome{err: n.noLeaderError()}
+		}
+		return otherTerm
+	})
+	if len(batch) == 0 {
+		return
+	}
 	commands := make([][]byte, len(batch))
 	for i, one := range batch {
 		commands[i] = one.command
@@ -323,7 +351,7 @@
 		"entry %d of group %q was committed by another leader", e.Index, n.options.Group)}
 	var applied outcome
 	if e.Type == raft.EntryCommand {
-		applied.result, applied.err = n.options.Machine.Apply(e.Data)
+		applied.result, applied.err = applyAt(n.options.Machine, e.Index, e.Data)
 	}
 	n.snapshots.commandBytes += len(e.Data)
 	n.applied = e.Index
--- a/consensus/replicator.go
+++ b/consensus/replicator.go
@@ -17,6 +17,33 @@
 	Restore(snapshot []byte) error
 }
 
+// IndexedStateMachine is a [StateMachine] that depends on the positions of its commands in
+// the log. A [Node] calls its methods in place of Apply and Restore.
+type IndexedStateMachine interface {
+	StateMachine
+	// ApplyAt executes the command at an index of the log.
+	ApplyAt(index uint64, command []byte) ([]byte, error)
+	// RestoreAt replaces the state with that of a snapshot that covers the log up to an
+	// index.
+	RestoreAt(index uint64, snapshot []byte) error
+}
+
+// applyAt applies a command to a state machine of either kind.
+func applyAt(m StateMachine, index uint64, command []byte) ([]byte, error) {
+	if indexed, ok := m.(IndexedStateMachine); ok {
+		return indexed.ApplyAt(index, command)
+	}
+	return m.Apply(command)
+}
+
+// restoreAt restores a state machine of either kind.
+func restoreAt(m StateMachine, index uint64, snapshot []byte) error {
+	if indexed, ok := m.(IndexedStateMachine); ok {
+		return indexed.RestoreAt(index, snapshot)
+	}
+	return m.Restore(snapshot)
+}
+
 // Replicator orders commands and applies them on every replica.
 type Replicator interface {
 	// Propose commits a command and returns the state machine's encoded result.
--- a/consensus/serve.go
+++ b/consensus/serve.go
@@ -31,7 +31,7 @@
 	var err error
 	switch r.Kind {
 	case RequestPropose:
-		o := n.proposeLocally(ctx, r.Command)
+		o := n.proposeLocally(ctx, r.Command, 0)
 		out.Result, err = o.result, o.err
 	case RequestRead:
 		o := n.readLocally(ctx)
--- a/consensus/transfer.go
+++ b/consensus/transfer.go
@@ -88,7 +88,7 @@
 
 // install replaces the state machine's state with the leader's snapshot.
 func (n *Node) install(s raft.Snapshot) error {
-	if err := n.options.Machine.Restore(s.Data); err != nil {
+	if err := restoreAt(n.options.Machine, s.Meta.Last.Index, s.Data); err != nil {
 		return errors.Wrapf(err, "restore the leader's snapshot at index %d", s.Meta.Last.Index)
 	}
 	n.applied, n.snapshots.lastIndex, n.snapshots.commandBytes = s.Meta.Last.Index, s.Meta.Last.Index, 0
--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -165,32 +165,11 @@
 	return state.Document, nil
 }
 
-// TakeZoneOut stops new work in an availability zone.
-func (c *Coordinator) TakeZoneOut(ctx context.Context, zone string) error {
-	return c.commitZoneChange(ctx, zone, declare.Command{ZoneOut: zone})
-}
-
-// BringZoneBack resumes work in an availability zone.
-func (c *Coordinator) BringZoneBack(ctx context.Context, zone string) error {
-	return c.commitZoneChange(ctx, zone, declare.Command{ZoneIn: zone})
-}
-
-// commitZoneChange commits a command that takes an availability zone out or
-// brings it back.
-func (c *Coordinator) commitZoneChange(ctx context.Context, zone string, command declare.Command) error {
-	if _, known := c.options.Settings.Regions[zone]; !known {
-		return errors.Newf("availability zone %q doesn't exist", zone)
-	}
-	err := c.propose(ctx, command)
-	c.log.Info().Str("event", "zone_moved").Str("zone", zone).Bool("out", command.ZoneOut != "").AnErr("failed", err).Send()
-	return err
-}
-
 // propose commits a command. It fails with [ErrTooFewVoters] while fewer
 // replicas vote than the settings require.
 func (c *Coordinator) propose(ctx context.Context, command declare.Command) error {
-	if voters := len(c.node.Status().Voters); voters < c.options.Settings.Voters() {
-		return errors.Wrapf(ErrTooFewVoters, "%d of %d", voters, c.options.Settings.Voters())
+	if err := c.checkVoters(); err != nil {
+		return err
 	}
 	data, err := json.Marshal(command)
 	if err != nil {
@@ -199,3 +178,12 @@
 	_, err = c.node.Propose(ctx, data)
 	return err
 }
+
+// checkVoters returns [ErrTooFewVoters] while fewer replicas vote than the settings require.
+func (c *Coordinator) checkVoters() error {
+	voters, want := len(c.node.Status().Voters), c.options.Settings.Voters()
+	if voters < want {
+		return errors.Wrapf(ErrTooFewVoters, "%d of %d", voters, want)
+	}
+	return nil
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -79,8 +79,8 @@
 	// inbound holds the connections that entries and other control hosts have
 	// opened to this host.
 	inbound map[*inboundLink]bool
-	// announcedHosts are the control hosts of the directory that all connected entries have.
-	announcedHosts []protocol.ControlHost
+	// announcedAddresses are those of the directory that all connected entries have.
+	announcedAddresses []string
 	// lastForwarded holds, by server ID, when a heartbeat was last forwarded to
 	// the leader.
 	lastForwarded map[string]time.Time
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -4,8 +4,10 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"tanagerbarrow/broker"
+	"tanagerbarrow/declare"
 )
 
 // hostMetrics are the metrics of a control host.
@@ -48,3 +50,15 @@
 func (m *hostMetrics) countRefusal(reason broker.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_refusals_total{reason=%q}", reason)).Inc()
 }
+
+// countZoneOrder counts an order on a zone by its result.
+func (m *hostMetrics) countZoneOrder(err error) {
+	result := "executed"
+	switch {
+	case errors.Is(err, declare.ErrOutdatedOrder):
+		result = "outdated"
+	case err != nil:
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_zone_orders_total{result=%q}", result)).Inc()
+}
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -142,14 +142,18 @@
 	return d
 }
 
-// announceHosts sends the directory to all entries if its hosts have changed since the
+// announceHosts sends the directory to all entries if it names other addresses than the
 // last time. An entry is connected to the leader alone and would otherwise not learn of
 // hosts that join while that one leads.
 func (c *Coordinator) announceHosts() {
-	hosts := c.entryDirectory().Hosts
+	var addresses []string
+	for _, h := range c.entryDirectory().Hosts {
+		addresses = append(addresses, h.PeerAddress)
+	}
+	slices.Sort(addresses)
 	c.mu.Lock()
-	changed := !slices.Equal(hosts, c.announcedHosts)
-	c.announcedHosts = hosts
+	changed := !slices.Equal(addresses, c.announcedAddresses)
+	c.announcedAddresses = addresses
 	c.mu.Unlock()
 	if changed {
 		c.announceLeader()
@@ -159,12 +163,16 @@
 // announceLeader sends the directory, which names the leader, to all connected
 // entries.
 func (c *Coordinator) announceLeader() {
-	d := c.entryDirectory()
+	body, err := link.Encode(c.entryDirectory())
+	if err != nil {
+		c.log.Error().Str("event", "encode_failed").Err(err).Send()
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for in := range c.inbound {
 		if in.hello.ControlHost == nil {
-			_ = in.conn.Send(protocol.KindDirectory, d)
+			_ = in.conn.SendEncoded(protocol.KindDirectory, body)
 		}
 	}
 }
@@ -223,6 +231,12 @@
 		return c.node.Handle(context.Background(), r), nil
 	case protocol.KindRecordsCall:
 		return c.allRecords(), nil
+	case protocol.KindZoneOrderCall:
+		var m protocol.ZoneOrder
+		if err := link.Decode(body, &m); err != nil {
+			return nil, err
+		}
+		return c.handleZoneOrder(m), nil
 	default:
 		return nil, errors.Newf("call kind %d is unknown", kind)
 	}
--- a/declare/machine.go
+++ b/declare/machine.go
@@ -5,6 +5,7 @@
 package declare
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"sync"
@@ -40,6 +41,29 @@
 	Deregister *DeregisteredServer `json:"leave,omitempty"`
 }
 
+// ErrOutdatedOrder means that another order on the zone was accepted after the position that
+// an order names.
+var ErrOutdatedOrder = errors.New("another order on the zone was accepted meanwhile")
+
+// ZoneOrder is an operator's order on an availability zone.
+type ZoneOrder struct {
+	// Zone is the name of the zone.
+	Zone string
+	// Out says that the zone is taken out of service; otherwise it is brought back.
+	Out bool
+	// Position is the position of the log that the operator received before it sent the
+	// order.
+	Position uint64
+}
+
+// Command returns the command that executes the order.
+func (o ZoneOrder) Command() Command {
+	if o.Out {
+		return Command{ZoneOut: o.Zone}
+	}
+	return Command{ZoneIn: o.Zone}
+}
+
 // Document is a declared configuration as its operator wrote it.
 type Document struct {
 	// Version orders documents; the highest is in force.
@@ -69,6 +93,11 @@
 	state State
 	// newestDeregisteredStart maps identifiers to the newest deregistered start.
 	newestDeregisteredStart map[string]int64
+	// zoneOrders holds, by zone, the log index of the last command that takes it out or
+	// brings it back, whether or not that changed the state. For zones without one it is
+	// at most restoredAt, the last index that a restored snapshot covers.
+	zoneOrders map[string]uint64
+	restoredAt uint64
 	// changed is closed and replaced whenever the state changes.
 	changed chan struct{}
 }
@@ -76,7 +105,8 @@
 // NewMachine returns a machine with an empty state.
 func NewMachine() *Machine {
 	return &Machine{
-		state: State{ZonesOut: map[string]bool{}}, newestDeregisteredStart: map[string]int64{}, changed: make(chan struct{}),
+		state: State{ZonesOut: map[string]bool{}}, newestDeregisteredStart: map[string]int64{},
+		zoneOrders: map[string]uint64{}, changed: make(chan struct{}),
 	}
 }
 
@@ -87,14 +117,29 @@
 	return m.state, m.changed
 }
 
-// Apply applies one JSON-encoded [Command]. Its result is always nil.
-func (m *Machine) Apply(data []byte) ([]byte, error) {
+// LastZoneOrder returns the log index of the last command on a zone, or a later index if a
+// snapshot was restored that doesn't tell.
+func (m *Machine) LastZoneOrder(zone string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.zoneOrders[zone], m.restoredAt)
+}
+
+// Apply is [Machine.ApplyAt] for a command without a position in a log.
+func (m *Machine) Apply(data []byte) ([]byte, error) { return m.ApplyAt(0, data) }
+
+// ApplyAt applies the JSON-encoded [Command] at an index of the log. Its result is always
+// nil.
+func (m *Machine) ApplyAt(index uint64, data []byte) ([]byte, error) {
 	var c Command
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode command")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if zone := cmp.Or(c.ZoneOut, c.ZoneIn); zone != "" {
+		m.zoneOrders[zone] = index
+	}
 	if m.applyLocked(c) {
 		m.state.Revision++
 		close(m.changed)
@@ -162,8 +207,11 @@
 	return json.Marshal(m.state)
 }
 
-// Restore replaces the state with that of a snapshot.
-func (m *Machine) Restore(data []byte) error {
+// Restore is [Machine.RestoreAt] for a snapshot without a position in a log.
+func (m *Machine) Restore(data []byte) error { return m.RestoreAt(0, data) }
+
+// RestoreAt replaces the state with that of a snapshot that covers the log up to an index.
+func (m *Machine) RestoreAt(index uint64, data []byte) error {
 	s := State{}
 	if err := json.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "decode snapshot")
@@ -174,6 +222,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = s
+	m.zoneOrders, m.restoredAt = map[string]uint64{}, index
 	m.newestDeregisteredStart = map[string]int64{}
 	for _, d := range s.DeregisteredServers {
 		m.newestDeregisteredStart[d.ID] = max(d.Started, m.newestDeregisteredStart[d.ID])
--- a/declare/machine_test.go
+++ b/declare/machine_test.go
@@ -126,3 +126,39 @@
 		return Command{Deregister: &DeregisteredServer{ID: zone, Started: rapid.Int64Range(1, 5).Draw(t, "started")}}
 	}
 }
+
+// TestLastZoneOrder checks the position of the last order on a zone: orders that change nothing
+// count, and after a snapshot no order before its end counts as current.
+func TestLastZoneOrder(t *testing.T) {
+	m := NewMachine()
+	apply := func(index uint64, command string) {
+		t.Helper()
+		if _, err := m.ApplyAt(index, []byte(command)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect := func(step string, a, b uint64) {
+		t.Helper()
+		if m.LastZoneOrder("a") != a || m.LastZoneOrder("b") != b {
+			t.Errorf("%s: last orders at %d and %d, want %d and %d", step, m.LastZoneOrder("a"), m.LastZoneOrder("b"), a, b)
+		}
+	}
+	expect("at first", 0, 0)
+	apply(3, `{"zone_out":"a"}`)
+	apply(4, `{"zone_in":"b"}`)
+	expect("an order that changes nothing", 3, 4)
+	apply(5, `{"zone_out":"a"}`)
+	apply(6, `{"leave":{"id":"i","started":1}}`)
+	apply(7, `{}`)
+	expect("other commands", 5, 4)
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m = NewMachine(); m.RestoreAt(9, data) != nil {
+		t.Fatal("the snapshot was not restored")
+	}
+	expect("a snapshot", 9, 9)
+	apply(12, `{"zone_in":"a"}`)
+	expect("an order after the snapshot", 12, 9)
+}
--- a/link/call.go
+++ b/link/call.go
@@ -41,6 +41,10 @@
 	Failure  string
 }
 
+// ErrRejected marks the error of a call whose handler returned an error, as for a kind that
+// the peer doesn't know.
+var ErrRejected = errors.New("the peer rejected the call")
+
 // callTable holds the calls that wait for a reply.
 type callTable struct {
 	mu          sync.Mutex
@@ -119,7 +123,7 @@
 			return ErrClosed
 		}
 		if r.Failure != "" {
-			return errors.Newf("peer: %s", r.Failure)
+			return errors.Mark(errors.Newf("peer: %s", r.Failure), ErrRejected)
 		}
 		return Decode(r.Body, result)
 	case <-ctx.Done():
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -53,6 +53,9 @@
 	// KindLeaving tells the broker that a backend server has said in a response that it leaves.
 	// Control hosts that don't know it ignore it.
 	KindLeaving
+	// KindZoneOrderCall is a call for the leader to execute an operator's order on an
+	// availability zone. Control hosts that don't know it reject it.
+	KindZoneOrderCall
 )
 
 // ControlHost is a control host in a [Directory].
@@ -231,3 +234,41 @@
 	Reject, Transfer    bool
 	HintIndex, HintTerm uint64
 }
+
+// ZoneOrder is the parameter of [KindZoneOrderCall].
+type ZoneOrder struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Zone is the name of the availability zone.
+	Zone string
+	// Out says that the zone is taken out of service; otherwise it is brought back.
+	Out bool
+	// Position is the position of the replicated log that the operator received before it
+	// sent the order.
+	Position uint64
+}
+
+// ZoneOrderOutcome is the outcome of a [ZoneOrder].
+type ZoneOrderOutcome uint8
+
+// The outcomes of orders.
+const (
+	// ZoneOrderFailed means that the order may or may not be executed.
+	ZoneOrderFailed ZoneOrderOutcome = iota
+	// ZoneOrderExecuted means that the order is committed.
+	ZoneOrderExecuted
+	// ZoneOrderOutdated means that another order on the zone stands behind the position, so
+	// that this one is not executed.
+	ZoneOrderOutdated
+	// ZoneOrderNotLeading means that the host doesn't lead and has not executed the order.
+	ZoneOrderNotLeading
+)
+
+// ZoneOrderResult is the result of [KindZoneOrderCall].
+type ZoneOrderResult struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Outcome ZoneOrderOutcome
+	// Message tells why the order has failed.
+	Message string
+}
