Bind a deregistration to the start that it means when it is sent

A deregistration that names no start, as those of the platform's servers, was bound to the record at the moment at which it was read. Read late by a control host that had been paused, it would remove a server that had started again under its identifier, for good.

--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -93,21 +93,21 @@
 	return c.machine.Deregistered(declare.DeregisteredServer{ID: id, Started: started})
 }
 
-// Deregister commits the deregistration of one start of a backend server. If
-// the server doesn't send its start, started is 0 and means the start of the
-// record held here. Without a record, since this host may have lost its records
-// in a restart, it means every start up to now.
-func (c *Coordinator) Deregister(ctx context.Context, id string, started int64) error {
+// ServerStart returns the start that a deregistration means which is sent from now on and
+// doesn't name one: that of the record held here. Without a record, since this host may have
+// lost its records in a restart, it means every start up to now.
+func (c *Coordinator) ServerStart(id string) int64 {
 	c.mu.Lock()
-	held := c.records.Get(id)
-	c.mu.Unlock()
-	switch {
-	case started != 0:
-	case held != nil:
-		started = held.Started
-	default:
-		started = time.Now().UnixMilli()
+	defer c.mu.Unlock()
+	if held := c.records.Get(id); held != nil {
+		return held.Started
 	}
+	return time.Now().UnixMilli()
+}
+
+// Deregister commits the deregistration of one start of a backend server and of all earlier
+// ones.
+func (c *Coordinator) Deregister(ctx context.Context, id string, started int64) error {
 	return c.commitDeregistration(ctx, declare.DeregisteredServer{ID: id, Started: started})
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -232,7 +232,7 @@
 	if _, err := c.running[4].Document(ctx); err == nil {
 		t.Error("a minority read the configuration")
 	}
-	if err := c.running[4].Deregister(ctx, "i-1", 0); err == nil {
+	if err := c.running[4].Deregister(ctx, "i-1", c.running[4].ServerStart("i-1")); err == nil {
 		t.Error("a minority acknowledged a deregistration")
 	}
 	if _, err := c.running[4].LogPosition(ctx); err == nil {
@@ -265,7 +265,7 @@
 	c.eventually("the deregistration is acknowledged", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		return c.running[4].Deregister(ctx, "i-1", 0) == nil
+		return c.running[4].Deregister(ctx, "i-1", c.running[4].ServerStart("i-1")) == nil
 	})
 	c.eventually("the leader removes the server", func() bool { return c.leader() != nil && !knows() })
 	b.Sequence += 10
@@ -331,7 +331,7 @@
 	c.eventually("the deregistration is acknowledged", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		return c.running[4].Deregister(ctx, "i-1", 0) == nil
+		return c.running[4].Deregister(ctx, "i-1", c.running[4].ServerStart("i-1")) == nil
 	})
 	// The records are saved in the background; the file is written as it was before
 	// the deregistration.
