Check records of backend servers wherever they are read

Here none ended, but heartbeats with port 0, -1 or 65536, with 2^63-1 slots, with names of a megabyte or cold for 1e300 ms were acknowledged, passed on and given to the broker, and one odd entry made the whole file of records unreadable at each start.

Only the reader of heartbeats over HTTP checked anything, and that only for missing fields. A record now has one check for all readers; an invalid one is refused or left out alone, and logged.

The address of the record in TestRecordsAreKept was "x", which the file can't hold any more; it is a valid one now, and all else is checked as before.

--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -67,6 +67,10 @@
 // recordHeartbeat updates the record of a backend server and passes it to the
 // broker if this host leads.
 func (c *Coordinator) recordHeartbeat(b registry.BackendServer, heard time.Time) registry.Outcome {
+	if err := b.Check(); err != nil {
+		c.recordLog.Warn().Str("event", "record_refused").Str("server", logged(b.ID)).Err(err).Send()
+		return registry.Stale
+	}
 	if c.isDeregistered(b.ID, b.Started) {
 		return registry.Stale
 	}
@@ -87,6 +91,12 @@
 	return o
 }
 
+// maxLoggedNameBytes is how much of the name in an invalid record is logged.
+const maxLoggedNameBytes = 64
+
+// logged returns the beginning of a name.
+func logged(name string) string { return name[:min(len(name), maxLoggedNameBytes)] }
+
 // isDeregistered reports whether a start of a backend server has been
 // deregistered.
 func (c *Coordinator) isDeregistered(id string, started int64) bool {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"tanagerbarrow/protocol"
 	"tanagerbarrow/registry"
 	"tanagerbarrow/route"
+	"tanagerbarrow/telemetry"
 )
 
 // Timing of the replicated log. Elections are faster than the default, because
@@ -47,6 +48,9 @@
 // exits.
 const replicaFailureDelay = 3 * time.Second
 
+// maxRecordLinesPerSecond bounds the log lines about invalid records.
+const maxRecordLinesPerSecond = 20
+
 // groupName is the name of the replicated group.
 const groupName = "declared"
 
@@ -67,11 +71,13 @@
 	options Options
 	self    protocol.ControlHost
 	log     zerolog.Logger
-	machine *declare.Machine
-	node    *consensus.Node
-	mesh    *mesh
-	metrics *hostMetrics
-	store   *recordStore
+	// recordLog passes on a bounded number of lines a second about invalid records.
+	recordLog zerolog.Logger
+	machine   *declare.Machine
+	node      *consensus.Node
+	mesh      *mesh
+	metrics   *hostMetrics
+	store     *recordStore
 
 	mu      sync.Mutex
 	records *registry.Table
@@ -98,7 +104,7 @@
 		return nil, errors.New("a control host needs a data folder and a control address")
 	}
 	c := &Coordinator{
-		options: o, log: o.Log, machine: declare.NewMachine(), records: registry.NewTable(),
+		options: o, log: o.Log, recordLog: telemetry.NewRateLimitedLogger(o.Log, "records", maxRecordLinesPerSecond), machine: declare.NewMachine(), records: registry.NewTable(),
 		inbound: map[*inboundLink]bool{}, lastForwarded: map[string]time.Time{}, recordsChanged: make(chan struct{}, 1),
 		self: protocol.ControlHost{
 			Name: s.Host.Name, PeerAddress: netip.AddrPortFrom(s.Host.Address, s.PeerPort).String(),
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -374,7 +374,7 @@
 		t.Errorf("loaded %v from a missing file", got)
 	}
 	r := registry.Record{BackendServer: registry.BackendServer{
-		ID: "a", Started: 5, Sequence: 9, Service: "s", Address: "x", AvailabilityZone: "z", Slots: 2, ColdRemaining: time.Second,
+		ID: "a", Started: 5, Sequence: 9, Service: "s", Address: "127.0.0.1:1", AvailabilityZone: "z", Slots: 2, ColdRemaining: time.Second,
 	}, LastHeartbeat: now}
 	if err := s.save(recordsToWire([]registry.Record{r}, now)); err != nil {
 		t.Fatal(err)
--- a/coordinator/records.go
+++ b/coordinator/records.go
@@ -46,13 +46,14 @@
 }
 
 // load returns the stored records. A file that is missing, truncated or
-// unreadable yields none: heartbeats deliver the same records within seconds.
+// unreadable yields none, and an entry that can't be decoded or isn't valid is left out:
+// heartbeats deliver the same records within seconds.
 func (s *recordStore) load(now time.Time) []registry.Record {
 	data, err := os.ReadFile(s.path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
-	var stored []protocol.Heartbeat
+	var stored []json.RawMessage
 	if err == nil {
 		err = json.Unmarshal(data, &stored)
 	}
@@ -61,8 +62,17 @@
 		return nil
 	}
 	var records []registry.Record
-	for _, h := range stored {
+	for n, entry := range stored {
+		var h protocol.Heartbeat
+		err := json.Unmarshal(entry, &h)
 		b := serverFromWire(h)
+		if err == nil {
+			err = b.Check()
+		}
+		if err != nil {
+			s.log.Warn().Str("event", "record_refused").Int("entry", n).Err(err).Send()
+			continue
+		}
 		b.Sequence, b.ColdRemaining = 0, 0
 		records = append(records, registry.Record{BackendServer: b, LastHeartbeat: now})
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -72,7 +72,7 @@
 
 // Announce applies a heartbeat that arrived at the given time. It returns the
 // record that was removed because it had the same address or was an earlier start
-// of the same identifier, or nil.
+// of the same identifier, or nil. A new server is ignored while the table is full.
 func (t *Table) Announce(b BackendServer, now time.Time) (o Outcome, replaced *Record) {
 	if current := t.byID[b.ID]; current != nil && isNewer(current, b) {
 		return Stale, nil
@@ -80,6 +80,9 @@
 	if holder := t.byAddress[b.Address]; holder != nil && holder.ID != b.ID && holder.Started > b.Started {
 		return Stale, nil
 	}
+	if t.byID[b.ID] == nil && len(t.byID) >= maxRecords {
+		return Stale, nil
+	}
 	r := &Record{BackendServer: b, LastHeartbeat: now, ColdUntil: now.Add(b.ColdRemaining), Unconfirmed: b.Sequence == 0}
 	current := t.byID[b.ID]
 	if current != nil && differsInTimesOnly(current.BackendServer, b) {
