Take no response without an identifier for that of a request

Callers got a 200 with an empty body, or their order ran on two servers, after a server had sent the response to a health check a second time, late: the copy was taken as the response to the next request on that connection. A copy of a refused check counted as the proof that the order had not run.

Checks carry no identifier, nor do their responses, and a response without one counted as that of the request in progress. Servers of the platform repeat the identifier of each request, so such a response belongs to none; it is now skipped like one with another identifier, and its connection is not used again. Relays and the project's own interface, which don't repeat it, are as before.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -14,6 +14,10 @@
 	// RequestID is the header that carries a request's identifier, in requests and
 	// responses.
 	RequestID string
+	// EchoesRequestID says that each response to a request with an identifier carries the
+	// same one. A response without it then belongs to another request, such as a health
+	// check.
+	EchoesRequestID bool
 	// Timeout is the header that carries the time until the caller's deadline, in
 	// milliseconds.
 	Timeout string
@@ -84,3 +88,13 @@
 	}
 	return d.Report(h)
 }
+
+// belongsTo reports whether a response belongs to the request with an identifier, which
+// is empty for a health check.
+func (d Dialect) belongsTo(res *http.Response, id string) bool {
+	got := res.Header.Get(d.RequestID)
+	if got == "" {
+		return id == "" || !d.EchoesRequestID
+	}
+	return got == id
+}
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -101,7 +101,7 @@
 	r := newRequest(x.dialect, to, a)
 	res, err := e.run(a, r)
 	if err == nil {
-		res, err = e.skipForeignResponses(res, r, x.dialect.RequestID, a.RequestID)
+		res, err = e.skipForeignResponses(res, r, x.dialect, a.RequestID)
 	}
 	if err != nil {
 		return nil, e.fail(ctx, err)
@@ -143,10 +143,9 @@
 // skipForeignResponses skips responses that belong to other requests, because a
 // server may send a late second response. A connection that delivered one is
 // not reused.
-func (e *exchange) skipForeignResponses(res *http.Response, r *http.Request, header, id string) (*http.Response, error) {
+func (e *exchange) skipForeignResponses(res *http.Response, r *http.Request, d Dialect, id string) (*http.Response, error) {
 	for range maxForeignResponses {
-		got := res.Header.Get(header)
-		if got == "" || got == id {
+		if d.belongsTo(res, id) {
 			return res, nil
 		}
 		if res.ContentLength < 0 || res.ContentLength > maxDrainBytes {
@@ -161,8 +160,8 @@
 		}
 		res.Close = true
 	}
-	if got := res.Header.Get(header); got != "" && got != id {
-		return nil, errors.Newf("answer belongs to request %q", got)
+	if !d.belongsTo(res, id) {
+		return nil, errors.Newf("answer belongs to request %q", res.Header.Get(d.RequestID))
 	}
 	return res, nil
 }
--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -225,3 +225,63 @@
 		}
 	}
 }
+
+// TestLateCopyOfCheckIsNoAnswer guards against the late second response to a health check that is
+// taken as the response to the next request on that connection: the caller would get it as a
+// success, or the request would run on two servers.
+func TestLateCopyOfCheckIsNoAnswer(t *testing.T) {
+	for name, copied := range map[string]string{
+		"healthy":          "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
+		"with a body":      "HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nwell",
+		"full":             "HTTP/1.1 503 X\r\n" + notRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"another server":   "HTTP/1.1 421 X\r\n" + notRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"after a 1xx":      "HTTP/1.1 102 X\r\n\r\nHTTP/1.1 503 X\r\n" + notRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"without a length": "HTTP/1.1 200 X\r\n\r\n",
+	} {
+		for _, pieces := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", in pieces ", pieces), func(t *testing.T) {
+				t.Parallel()
+				var runs atomic.Int32
+				checked := &sync.Map{}
+				address := scriptedServer(t, func(c net.Conn, r *http.Request) {
+					if r.Header.Get(idHeader) == "" {
+						checked.Store(c, true)
+						_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+						return
+					}
+					runs.Add(1)
+					if _, late := checked.LoadAndDelete(c); late {
+						for _, piece := range split(copied, pieces) {
+							_, _ = io.WriteString(c, piece)
+							time.Sleep(time.Millisecond)
+						}
+					}
+					time.Sleep(10 * time.Millisecond)
+					respond(c, r, 200, "", "answer to "+r.Header.Get(idHeader))
+				})
+				_, e := setUp(t, address, address)
+				for n := range 4 {
+					e.checker.checkPath(t.Context(), e.exchanger, e.view.server(1))
+					runs.Store(0)
+					id := fmt.Sprint("id-", n)
+					status, text := e.sendAs(t, id, http.MethodPost, "/once/x")
+					if runs.Load() != 1 || status == http.StatusServiceUnavailable || status == http.StatusOK && text != "answer to "+id {
+						t.Errorf("%d %q after %d runs", status, text, runs.Load())
+					}
+				}
+			})
+		}
+	}
+}
+
+// split returns a text as one piece or in pieces of two bytes.
+func split(text string, pieces bool) []string {
+	if !pieces {
+		return []string{text}
+	}
+	var all []string
+	for ; len(text) > 2; text = text[2:] {
+		all = append(all, text[:2])
+	}
+	return append(all, text)
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,7 +46,7 @@
 // testDialect returns a dialect with its own header names.
 func testDialect() backend.Dialect {
 	return backend.Dialect{
-		RequestID: idHeader, Timeout: timeHeader, ExpectServer: expectHeader, KeepHost: true,
+		RequestID: idHeader, EchoesRequestID: true, Timeout: timeHeader, ExpectServer: expectHeader, KeepHost: true,
 		NotRun: func(r *http.Response) bool { return r.Header.Get(notRunHeader) != "" },
 		Report: func(h http.Header) backend.Report {
 			pace, _ := strconv.Atoi(h.Get(paceHeader))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,6 +57,8 @@
 
 // newRelayExchanger returns the exchanger of requests to relays.
 func newRelayExchanger(d backend.Dialect) *backend.Exchanger {
+	// A relay's own errors carry no identifier.
+	d.EchoesRequestID = false
 	d.NotRun = func(res *http.Response) bool {
 		return strings.HasPrefix(res.Header.Get(headerRelayResult), verdict.NotRun.String()+" ")
 	}
