Send further attempts of a request on connections that have not carried it

Another operator reported copies of earlier refusals: callers were told that a request had not run, though a server was running it. A response's identifier tells requests apart, not the attempts of one. A second attempt on the connection of the first took the late copy of the first one's refusal as its own.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -51,6 +51,8 @@
 	silenceDeadline time.Time
 	// received is whether any byte was received in this exchange.
 	received bool
+	// requests are those that the connection has carried.
+	requests carried
 
 	mu      sync.Mutex
 	written int64
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -86,7 +86,11 @@
 		stop := context.AfterFunc(a.DialContext, endDial)
 		defer stop()
 	}
-	c, err := x.pool.get(dialCtx, to.Address, a.verifiedSince())
+	id := ""
+	if x.dialect.EchoesRequestID {
+		id = a.RequestID
+	}
+	c, err := x.pool.get(dialCtx, to.Address, a.verifiedSince(), id)
 	endDial()
 	if err != nil {
 		return nil, dialFailure(ctx, err, to)
@@ -96,6 +100,9 @@
 		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeTooLate,
 			"the permission to use backend server %s has run out", to.Address)
 	}
+	if id != "" {
+		c.requests.add(id)
+	}
 	e := &exchange{pool: x.pool, conn: c, to: to, writtenBefore: c.writtenBytes(), started: time.Now(), transferLimit: a.TransferLimit}
 	e.stopWatch = context.AfterFunc(ctx, c.abort)
 	r := newRequest(x.dialect, to, a)
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,16 +28,27 @@
 }
 
 // get returns an idle connection that delivered a complete response since the
-// given time, or opens a new one.
-func (p *pool) get(ctx context.Context, to netip.AddrPort, since time.Time) (*conn, error) {
+// given time, or opens a new one. A request with an identifier gets no connection that
+// has carried it before.
+func (p *pool) get(ctx context.Context, to netip.AddrPort, since time.Time, id string) (*conn, error) {
+	var others []*conn
+	defer func() {
+		for _, c := range slices.Backward(others) {
+			p.giveBack(c)
+		}
+	}()
 	for c := p.take(to, since); c != nil; c = p.take(to, since) {
 		expired := !c.expires.IsZero() && time.Now().After(c.expires)
-		if !expired && c.reusable() {
+		switch {
+		case expired || !c.reusable():
+			_ = c.Close()
+		case id != "" && c.requests.has(id):
+			others = append(others, c)
+		default:
 			c.reused = true
 			c.received = false
 			return c, nil
 		}
-		_ = c.Close()
 	}
 	return dial(ctx, to, p.dialTimeout)
 }
@@ -63,6 +75,12 @@
 // put adds a connection that delivered a complete response, or closes it if the
 // pool is closed or has maxIdlePerServer connections to the server.
 func (p *pool) put(c *conn) {
+	c.verifiedAt = time.Now()
+	p.giveBack(c)
+}
+
+// giveBack is put for a connection that was not used.
+func (p *pool) giveBack(c *conn) {
 	p.mu.Lock()
 	idle := p.servers[c.address]
 	if idle == nil {
@@ -74,7 +92,6 @@
 		_ = c.Close()
 		return
 	}
-	c.verifiedAt = time.Now()
 	idle.conns = append(idle.conns, c)
 	if p.reaper == nil {
 		p.reaper = time.AfterFunc(idleTimeout, p.reap)
