Send targets that begin with two slashes as they are

A request whose path begins with two slashes reached its server as a request for "/", on a route with the prefix "/"; the caller got the response as a success. The writer of net/http puts an opaque target with two slashes in absolute form, so newRequest left it out, and nothing took its place.

The request line of such targets is now written as the caller sent it, through relays too.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -169,8 +169,8 @@
 	if d.KeepHost {
 		r.Host = a.Host
 	}
-	if strings.HasPrefix(a.Target, "/") && !strings.HasPrefix(a.Target, "//") {
-		r.URL = &url.URL{Scheme: "http", Host: address, Opaque: a.Target}
+	if strings.HasPrefix(a.Target, "/") {
+		r.URL, r.RequestURI = &url.URL{Scheme: "http", Host: address, Opaque: a.Target}, a.Target
 	}
 	switch {
 	case a.Body != nil:
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -201,7 +201,7 @@
 
 // write writes a request whose body is buffered.
 func (e *exchange) write(r *http.Request) error {
-	if err := r.Write(e.conn.writer); err != nil {
+	if err := writeRequest(e.conn.writer, r); err != nil {
 		return err
 	}
 	return e.conn.writer.Flush()
--- a/backend/upload.go
+++ b/backend/upload.go
@@ -53,7 +53,7 @@
 func (u *upload) run(c *conn, r *http.Request, buffers *sync.Pool) {
 	out := buffers.Get().(*bufio.Writer)
 	out.Reset(c)
-	err := r.Write(out)
+	err := writeRequest(out, r)
 	if err == nil {
 		err = out.Flush()
 	}
