Let the group form after kills during the first start

One control host that was killed while the last one was still starting kept the deployment from ever serving: all ran, and answered each order with 503. The bootstrapping host counted only hosts that say that the whole deployment starts for the first time, which a process that is started again is not told any more.

The first start is now recorded in the data folder, with whether the host may bootstrap, and the bootstrapping host counts every host that holds no log. It alone may bootstrap, so no group exists while its own log is empty. A host without the record, as after the loss of its disk, never bootstraps. The record is a further file, which earlier builds ignore.

--- a/consensus/discovery.go
+++ b/consensus/discovery.go
@@ -14,10 +14,12 @@
 	// Voters is the number of voters that are needed to bootstrap the group.
 	// While the group has more voters, one that does not respond is removed.
 	Voters int
-	// MayBootstrap says that this host, and no other one, may bootstrap the group.
+	// MayBootstrap says that this host, and no other one, may bootstrap the group, and
+	// that its disk dates from the first start of the whole system. While it holds no
+	// log, no group exists, so that every host that holds none may be a first member.
 	MayBootstrap bool
-	// FirstStart says that the whole system starts for the first time. A host
-	// without it never bootstraps a group and is not one of its first members.
+	// FirstStart says that this host's disk dates from the first start of the whole
+	// system. Bootstrapping hosts of earlier builds count only such hosts.
 	FirstStart bool
 }
 
@@ -33,7 +35,7 @@
 // that they hold no log. With fewer first members, the loss of as many disks as
 // are tolerated could destroy commands that were accepted meanwhile.
 func (n *Node) bootstrapDiscovered(ctx context.Context, d *Discovery, members []raft.Member) {
-	if !d.MayBootstrap || !d.FirstStart || len(members) < d.Voters {
+	if !d.MayBootstrap || len(members) < d.Voters {
 		return
 	}
 	_ = n.runTask(ctx, func() error {
--- a/consensus/members.go
+++ b/consensus/members.go
@@ -164,15 +164,13 @@
 func (n *Node) tryJoin(ctx context.Context) {
 	responses := n.identifyAll(ctx)
 	members := []raft.Member{n.self}
-	initialized := n.isMember()
+	initialized := len(n.Status().Members.All()) > 0
 	for _, r := range responses {
 		if r.Initialized {
 			initialized = true
 			n.requestJoin(ctx, r.Self)
 		}
-		if d := n.options.Discovery; d == nil || r.FirstStart {
-			members = append(members, r.Self)
-		}
+		members = append(members, r.Self)
 	}
 	if initialized {
 		return
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -123,14 +123,17 @@
 // open opens the replica of the log.
 func (c *Coordinator) open() error {
 	s := c.options.Settings
-	var err error
+	first, err := recordFirstStart(s)
+	if err != nil {
+		return err
+	}
 	c.node, err = consensus.Open(consensus.Options{
 		Group: groupName, Name: s.Host.Name, Folder: filepath.Join(s.DataFolder, groupName), FS: wal.OS{},
 		Machine: c.machine, Transport: c.mesh, Log: c.log, CommitDuration: c.metrics.commitSeconds,
 		TickPeriod: tickPeriod, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
 		FirstElectionTicks: firstElectionTicks,
 		Discovery: &consensus.Discovery{
-			Hosts: c.mesh.members, Voters: s.Voters(), MayBootstrap: s.MayBootstrap(), FirstStart: s.FirstStart,
+			Hosts: c.mesh.members, Voters: s.Voters(), MayBootstrap: first != nil && first.MayBootstrap, FirstStart: first != nil,
 		},
 	})
 	return err
