Let entries that reach no control host ask other entries

An entry that was paused or cut off while all control hosts were replaced knew none that still ran. Directories had not reached it, and its settings help only if they were written anew meanwhile; otherwise it served by its old configuration until it was restarted.

Entries with a broker answer with the control hosts that the broker has named; what they name is verified like any other address.

--- a/gateway/controlhosts.go
+++ b/gateway/controlhosts.go
@@ -86,6 +86,17 @@
 	return slices.Compact(all)
 }
 
+// names returns the names of the hosts that directories have named, by their addresses.
+func (h *controlHosts) names() map[string]string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := map[string]string{}
+	for address, host := range h.named {
+		all[address] = host.name
+	}
+	return all
+}
+
 // verify checks the directory of the host at an address. It returns
 // [errOtherDeployment] if the host is located in a zone that this deployment doesn't
 // have, or if another host had the address and neither the settings nor another host's
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -41,9 +41,13 @@
 }
 
 // serveRelayed sends a request of another entry to the server that it names, and returns
-// the server's complete response. It never passes a request on to a further entry.
+// the server's complete response. It never passes a request on to a further entry. Another
+// entry may also ask for the control hosts.
 func (g *Gateway) serveRelayed(c echo.Context) error {
 	r := c.Request()
+	if r.Header.Get(headerControlHosts) != "" && r.Header.Get(headerRelayServer) == "" {
+		return g.serveControlHosts(c)
+	}
 	k := &callerRequest{request: r, arrived: time.Now(), id: r.Header.Get(g.options.Dialect.RequestID)}
 	defer k.releaseBodies()
 	a, err := g.relayedAttempt(r)
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -47,6 +47,7 @@
 	search := &brokerSearch{
 		session: s, ctx: searchCtx, end: end, hostsAdded: make(chan struct{}, 1), connected: map[string]bool{},
 	}
+	go search.askEntries()
 	ticker, reports := time.NewTicker(searchInterval), time.NewTicker(searchReportInterval)
 	defer ticker.Stop()
 	defer reports.Stop()
