--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -68,7 +68,7 @@
 // broker if this host leads.
 func (c *Coordinator) recordHeartbeat(b registry.BackendServer, heard time.Time) registry.Outcome {
 	if err := b.Check(); err != nil {
-		c.recordLog.Warn().Str("event", "record_refused").Str("server", logged(b.ID)).Err(err).Send()
+		c.recordLog.Warn().Str("event", "record_refused").Str("server", abbreviate(b.ID)).Err(err).Send()
 		return registry.Stale
 	}
 	if c.isDeregistered(b.ID, b.Started) {
@@ -94,8 +94,8 @@
 // maxLoggedNameBytes is how much of the name in an invalid record is logged.
 const maxLoggedNameBytes = 64
 
-// logged returns the beginning of a name.
-func logged(name string) string { return name[:min(len(name), maxLoggedNameBytes)] }
+// abbreviate returns the beginning of a name.
+func abbreviate(name string) string { return name[:min(len(name), maxLoggedNameBytes)] }
 
 // isDeregistered reports whether a start of a backend server has been
 // deregistered.
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -293,16 +293,6 @@
 	return server
 }
 
-// zonesOut returns the availability zones that get no new work, in sorted order.
-func (l *leader) zonesOut() []string {
-	var out []string
-	for zone := range l.state.ZonesOut {
-		out = append(out, zone)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // broadcast sends a message to all sessions.
 func (l *leader) broadcast(kind link.Kind, v any) {
 	body, err := link.Encode(v)
--- a/coordinator/zoneorder.go
+++ b/coordinator/zoneorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -176,3 +177,13 @@
 	}
 	return err
 }
+
+// zonesOut returns the availability zones that get no new work, in sorted order.
+func (l *leader) zonesOut() []string {
+	var out []string
+	for zone := range l.state.ZonesOut {
+		out = append(out, zone)
+	}
+	slices.Sort(out)
+	return out
+}
