Tell the host at an address from those that had it before

Read again: an entry refused a host if the directory named another one at its address first, as directories do for a while after a new host has taken the address of a removed one. It would have kept an entry from the broker.

A host that is met now takes its address from those that had it; a directory names one host at an address, and the check of an entry accepts any of those that a directory of an earlier build names. New cases of TestHostAtReusedAddressIsVerified and TestAddressBelongsToOneHost cover it.

--- a/coordinator/hosts.go
+++ b/coordinator/hosts.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// meet adds or updates a control host that was in contact. It returns an error if the
-// host belongs to another deployment.
+// meet adds or updates a control host that was in contact, and removes those that had its
+// address. It returns an error if the host belongs to another deployment.
 func (m *mesh) meet(h protocol.ControlHost) error {
 	if err := m.check(h); err != nil {
 		return err
@@ -51,12 +51,14 @@
 	if known, ok := m.hosts[h.Name]; !ok || !known.met || known.ControlHost != h {
 		m.c.log.Info().Str("event", "control_host_found").Str("peer_host", h.Name).Str("address", h.PeerAddress).Send()
 	}
+	maps.DeleteFunc(m.hosts, func(_ string, other *knownHost) bool { return other.PeerAddress == h.PeerAddress })
 	m.hosts[h.Name] = &knownHost{ControlHost: h, met: true, contactAt: time.Now()}
 	return nil
 }
 
 // suggest adds a control host that another one has named. It changes nothing about a host
-// that was in contact, since the other one may know an older address.
+// that was in contact, since the other one may know an older address, or the host that had
+// its address before.
 func (m *mesh) suggest(h protocol.ControlHost) {
 	if m.check(h) != nil {
 		return
@@ -67,6 +69,11 @@
 	if ok && (known.met || known.ControlHost == h) || !ok && len(m.hosts) >= maxKnownHosts {
 		return
 	}
+	for _, other := range m.hosts {
+		if other.met && other.PeerAddress == h.PeerAddress {
+			return
+		}
+	}
 	m.hosts[h.Name] = &knownHost{ControlHost: h, contactAt: time.Now()}
 }
 
@@ -76,8 +83,8 @@
 	if _, known := regions[h.AvailabilityZone]; !known && len(regions) > 0 {
 		return errors.Newf("control host %q is located in zone %q of another deployment", h.Name, h.AvailabilityZone)
 	}
-	if h.Name == "" || h.Name == m.c.self.Name {
-		return errors.Newf("another control host has the name %q", h.Name)
+	if h.Name == "" || h.Name == m.c.self.Name || h.PeerAddress == m.c.self.PeerAddress {
+		return errors.Newf("another control host has the name %q and the address %s", h.Name, h.PeerAddress)
 	}
 	_, err := netip.ParseAddrPort(h.PeerAddress)
 	return errors.Wrapf(err, "control host %q", h.Name)
--- a/coordinator/mesh.go
+++ b/coordinator/mesh.go
@@ -239,17 +239,22 @@
 // receiveDirectory stores the hosts of the directory that the host at an address has sent.
 // It closes the connection to a host of another deployment.
 func (m *mesh) receiveDirectory(o *outboundLink, conn *link.Conn, address string, d protocol.Directory) {
+	var senders []protocol.ControlHost
 	for _, h := range d.Hosts {
-		if h.PeerAddress != address {
-			continue
+		if h.PeerAddress == address {
+			senders = append(senders, h)
 		}
-		if err := m.meet(h); err != nil {
+	}
+	// Hosts of earlier builds also name those that had their address; their hello tells
+	// which one they are.
+	if len(senders) == 1 {
+		if err := m.meet(senders[0]); err != nil {
 			m.c.log.Warn().Str("event", "control_host_refused").Str("address", address).Err(err).Send()
 			conn.Close()
 			return
 		}
 		o.mu.Lock()
-		o.peer = h.Name
+		o.peer = senders[0].Name
 		o.mu.Unlock()
 	}
 	for _, h := range d.Hosts {
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -126,16 +126,17 @@
 }
 
 // entryDirectory returns the directory for entries. It names the members of the log as
-// well that were not in contact, because one of them may lead next.
+// well that were not in contact, because one of them may lead next, unless another host has
+// their address now.
 func (c *Coordinator) entryDirectory() protocol.Directory {
 	d := c.directory()
-	known := map[string]bool{}
+	known := map[string]bool{"": true}
 	for _, h := range d.Hosts {
-		known[h.Name] = true
+		known[h.Name], known[h.PeerAddress] = true, true
 	}
 	for _, member := range c.node.Status().Members.All() {
-		if !known[member.Name] && member.Address != "" {
-			known[member.Name] = true
+		if !known[member.Name] && !known[member.Address] {
+			known[member.Name], known[member.Address] = true, true
 			d.Hosts = append(d.Hosts, protocol.ControlHost{Name: member.Name, PeerAddress: member.Address})
 		}
 	}
--- a/coordinator/turnover_test.go
+++ b/coordinator/turnover_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// TestAddressBelongsToOneHost guards against entries that refuse a host at an address under which
+// directories still name the host that had it before.
+func TestAddressBelongsToOneHost(t *testing.T) {
+	m := newTestMesh(nil)
+	before, now := testHost("before", 1), testHost("now", 1)
+	for _, h := range []protocol.ControlHost{before, now} {
+		if err := m.meet(h); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.suggest(before)
+	if got := m.knownHosts(); !slices.Equal(got, []protocol.ControlHost{now, m.c.self}) {
+		t.Errorf("known hosts are %v", got)
+	}
+	if got := m.members(); len(got) != 2 {
+		t.Errorf("members are %v", got)
+	}
+}
+
 // TestMembersAreNotForgotten lets a member of the log be down for long.
 func TestMembersAreNotForgotten(t *testing.T) {
 	m := newTestMesh(nil)
@@ -208,7 +227,9 @@
 	if got := m.addresses(nil); len(got) != 1 || !got[met.PeerAddress] {
 		t.Errorf("addresses are %v", got)
 	}
-	for _, h := range []protocol.ControlHost{other, self, odd} {
+	taken := testHost("taken", 5)
+	taken.PeerAddress = m.c.self.PeerAddress
+	for _, h := range []protocol.ControlHost{other, self, odd, taken} {
 		if m.meet(h) == nil {
 			t.Errorf("host %+v was accepted", h)
 		}
--- a/gateway/controlhosts.go
+++ b/gateway/controlhosts.go
@@ -100,22 +100,27 @@
 // verify checks the directory of the host at an address. It returns
 // [errOtherDeployment] if the host is located in a zone that this deployment doesn't
 // have, or if another host had the address and neither the settings nor another host's
-// directory name the new one. The address is then forgotten.
+// directory name the new one. The address is then forgotten. A directory may name several
+// hosts at one address, of which only the last one still runs.
 func (h *controlHosts) verify(address string, d protocol.Directory) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	known := h.named[address].name
+	anyName := known == "" || slices.Contains(h.seeds, address)
+	var named []protocol.ControlHost
 	for _, host := range d.Hosts {
-		if host.PeerAddress != address {
-			continue
-		}
-		known := h.named[address].name
-		replaced := known != "" && known != host.Name && !slices.Contains(h.seeds, address)
-		if replaced || !h.inDeployment(host) {
-			delete(h.named, address)
-			return errors.Wrapf(errOtherDeployment, "host %q in zone %q at %s, known as %q", host.Name, host.AvailabilityZone, address, known)
+		if host.PeerAddress == address {
+			named = append(named, host)
 		}
 	}
-	return nil
+	verified := func(host protocol.ControlHost) bool {
+		return (anyName || host.Name == known) && h.inDeployment(host)
+	}
+	if len(named) == 0 || slices.ContainsFunc(named, verified) {
+		return nil
+	}
+	delete(h.named, address)
+	return errors.Wrapf(errOtherDeployment, "host %q in zone %q at %s, known as %q", named[0].Name, named[0].AvailabilityZone, address, known)
 }
 
 // learn adds the hosts of a directory and reports whether one of them is new.
--- a/gateway/controlhosts_test.go
+++ b/gateway/controlhosts_test.go
@@ -87,7 +87,13 @@
 		"another host, named by the settings":    {from: directory("z", "a"), confirm: func(h *controlHosts) { h.setSeeds(addressesOf(address)) }},
 		"another host, named by another one":     {from: directory("z", "a"), confirm: func(h *controlHosts) { h.learn(directory("z", "a")) }},
 		"another zone at a seed of the settings": {from: directory("x", "b"), confirm: func(h *controlHosts) { h.setSeeds(addressesOf(address)) }, refused: true},
-		"a host of a build that names no hosts":  {from: protocol.Directory{LeaderAddress: address}},
+		"the same host, after one that had its address": {from: protocol.Directory{LeaderAddress: address, Hosts: []protocol.ControlHost{
+			hostAt("earlier", address), hostAt("x", address),
+		}}},
+		"two other hosts": {from: protocol.Directory{LeaderAddress: address, Hosts: []protocol.ControlHost{
+			hostAt("earlier", address), hostAt("z", address),
+		}}, refused: true},
+		"a host of a build that names no hosts": {from: protocol.Directory{LeaderAddress: address}},
 	} {
 		h := newControlHosts(map[string]string{"a": "west"}, addressesOf("10.0.0.1:1"))
 		h.learn(directory("x", "a"))
