--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -23,7 +23,7 @@
 	seedCount    = flag.Int("seeds", 1, "how many seeds to run")
 	firstSeed    = flag.Uint64("first", 1, "the first seed")
 	runLength    = flag.Duration("length", 8*time.Second, "how long faults are injected in each run")
-	parallelRuns = flag.Int("at-once", 1, "how many runs are in progress at the same time")
+	parallelRuns = flag.Int("at-once", 2, "how many runs are in progress at the same time")
 	keepLogs     = flag.String("logs", "", "folder for the logs of failed runs")
 )
 
