Say plainly which zone the soak orders and why an order waits

Two comments, found on a last read: one in the soak said nothing that a reader could use, one on the order whose outcome is unknown left open what is committed. No code changed; tests of orders on zones and the linter pass.

--- a/bench/soak/order_test.go
+++ b/bench/soak/order_test.go
@@ -9,8 +9,8 @@
 // unstableTimeout is what is added to the evacuation timeout while control hosts fail.
 const unstableTimeout = 5 * time.Second
 
-// orderedZone is the zone of the orders that reach paused control hosts. Its servers run
-// requests of callers elsewhere only.
+// orderedZone is the zone of the orders that reach paused control hosts; no other orders of a
+// run concern it.
 var orderedZone = zones[2]
 
 // ordersPausedHosts reports whether the run sends orders to paused control hosts.
--- a/coordinator/zoneorder.go
+++ b/coordinator/zoneorder.go
@@ -147,8 +147,8 @@
 		return errors.Wrap(ctx.Err(), "wait for other orders")
 	}
 	if l.zoneOrderPending {
-		// An order whose outcome is unknown may still be committed. What is committed
-		// behind it shows that it has been applied or is lost.
+		// An earlier order whose outcome is unknown may still be committed. Once a command
+		// behind it is, the earlier one has been applied or is lost.
 		if err := l.propose(ctx, declare.Command{}); err != nil {
 			return err
 		}
