Agree on the messages and settings of roll-outs and client accounts

Roll-outs and client accounts need facts that no message carries, and messages keep their layouts while builds run side by side. New kinds of messages are reserved here, a broker names those that it handles right after its welcome, and an ask can carry the route and the client account. The settings of both parts are read; the replicated state holds roll-outs and their stages.

--- a/broker/message.go
+++ b/broker/message.go
@@ -35,6 +35,28 @@
 	Fingerprint uint64
 }
 
+// Details are what a deployment with client accounts or a roll-out tells the broker about a
+// request beyond its [Ask].
+type Details struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Route is the name of the request's route.
+	Route string
+	// ClientAccount is the name of the caller's client account; empty if there is none.
+	ClientAccount string
+	// Returning says that an entry has refused the request before and that its caller has come
+	// back at the time it was given.
+	Returning bool
+}
+
+// DetailedAsk is an [Ask] with its [Details].
+type DetailedAsk struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Ask     Ask
+	Details Details
+}
+
 // Grant is the reply to an [Ask] that allows the entry to send the request to
 // the server now.
 type Grant struct {
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -59,6 +59,7 @@
 // pendingAsk is an ask that has been neither granted nor refused.
 type pendingAsk struct {
 	ask       Ask
+	details   Details
 	entry     *entry
 	arrivedAt time.Time
 	// waitUntil is the time at which the ask is refused.
@@ -107,8 +108,14 @@
 	return all, busy, capacity
 }
 
-// Ask processes an ask: it is granted at once, refused at once or queued.
+// Ask processes an ask without details.
 func (b *Broker) Ask(name string, a Ask, now time.Time) {
+	b.AskInDetail(name, DetailedAsk{Ask: a}, now)
+}
+
+// AskInDetail processes an ask: it is granted at once, refused at once or queued.
+func (b *Broker) AskInDetail(name string, d DetailedAsk, now time.Time) {
+	a := d.Ask
 	e := b.entries[name]
 	if e == nil {
 		return
@@ -125,7 +132,7 @@
 		b.refuse(p, e, a.Seq, ReasonRetryBudget, now)
 		return
 	}
-	w := newPendingAsk(p, e, a, now)
+	w := newPendingAsk(p, e, d, now)
 	if !b.canBeSent(w, now) {
 		b.refuse(p, e, a.Seq, ReasonNoRelay, now)
 		return
@@ -145,8 +152,9 @@
 }
 
 // newPendingAsk calculates how long an ask may wait.
-func newPendingAsk(p *pool, e *entry, a Ask, now time.Time) *pendingAsk {
-	w := &pendingAsk{ask: a, entry: e, arrivedAt: now}
+func newPendingAsk(p *pool, e *entry, d DetailedAsk, now time.Time) *pendingAsk {
+	a := d.Ask
+	w := &pendingAsk{ask: a, details: d.Details, entry: e, arrivedAt: now}
 	objective := millis(a.ObjectiveMillis)
 	w.missesObjective = objective < p.serviceTime
 	wait := time.Duration(float64(objective) * objectiveWaitShare)
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -60,6 +60,9 @@
 	grantsPerTerm = 1 << 32
 )
 
+// capabilities are the further messages that this build's broker handles.
+var capabilities = protocol.Capabilities{DetailedAsks: true}
+
 // leader runs the broker of one term in a single goroutine.
 type leader struct {
 	c    *Coordinator
@@ -256,6 +259,7 @@
 	l.log.Info().Str("event", "entry_connected").Str("entry", name).Int("held", len(s.Held)).
 		Uint64("config_version", s.Version).Send()
 	_ = in.conn.Send(protocol.KindWelcome, protocol.Welcome{Term: l.term})
+	_ = in.conn.Send(protocol.KindCapabilities, capabilities)
 	if l.sentDocument.Version > s.Version {
 		l.sendDocumentTo(in, l.sentDocument, declare.Document{})
 	}
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -194,6 +194,8 @@
 		return postMessage(l, body, func(m protocol.Subscribe, now time.Time) { l.subscribe(in, m, now) })
 	case protocol.KindAsk:
 		return postMessage(l, body, func(m broker.Ask, now time.Time) { l.ask(name, m, now) })
+	case protocol.KindDetailedAsk:
+		return postMessage(l, body, func(m broker.DetailedAsk, now time.Time) { l.broker.AskInDetail(name, m, now) })
 	case protocol.KindRelease:
 		return postMessage(l, body, func(m broker.Release, now time.Time) { l.release(name, m, now) })
 	case protocol.KindCancel:
--- a/declare/machine.go
+++ b/declare/machine.go
@@ -39,6 +39,9 @@
 	ZoneIn  string `json:"zone_in,omitempty"`
 	// Deregister names a backend server to deregister.
 	Deregister *DeregisteredServer `json:"leave,omitempty"`
+	// StartRollout begins a roll-out, and MoveRollout moves one to its next stage.
+	StartRollout *RolloutOrder `json:"start_rollout,omitempty"`
+	MoveRollout  *RolloutMove  `json:"move_rollout,omitempty"`
 }
 
 // ErrOutdatedOrder means that another order on the zone was accepted after the position that
@@ -84,6 +87,8 @@
 	// DeregisteredServers are the deregistered backend servers, the oldest
 	// first.
 	DeregisteredServers []DeregisteredServer `json:"leavers"`
+	// Rollouts holds, for each service that had one, the roll-out in progress or else the last.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
 }
 
 // Machine is the state machine. It applies commands in the order of the log and
@@ -140,7 +145,7 @@
 	if zone := cmp.Or(c.ZoneOut, c.ZoneIn); zone != "" {
 		m.zoneOrders[zone] = index
 	}
-	if m.applyLocked(c) {
+	if m.applyLocked(index, c) {
 		m.state.Revision++
 		close(m.changed)
 		m.changed = make(chan struct{})
@@ -151,8 +156,12 @@
 // applyLocked applies a command and reports whether it changed the state. A
 // document that is not newer is ignored, even if its content differs. The caller
 // holds mu.
-func (m *Machine) applyLocked(c Command) bool {
+func (m *Machine) applyLocked(index uint64, c Command) bool {
 	switch {
+	case c.StartRollout != nil:
+		return m.startRollout(index, *c.StartRollout)
+	case c.MoveRollout != nil:
+		return m.moveRollout(*c.MoveRollout)
 	case c.Declare != nil:
 		if c.Declare.Version <= m.state.Document.Version {
 			return false
--- a/declare/machine_test.go
+++ b/declare/machine_test.go
@@ -55,7 +55,7 @@
 func TestDeregisteredServersAreBounded(t *testing.T) {
 	m := NewMachine()
 	for n := range maxDeregisteredServers + 10 {
-		m.applyLocked(Command{Deregister: &DeregisteredServer{ID: fmt.Sprint(n), Started: 1}})
+		m.applyLocked(0, Command{Deregister: &DeregisteredServer{ID: fmt.Sprint(n), Started: 1}})
 	}
 	if len(m.newestDeregisteredStart) != maxDeregisteredServers || len(m.state.DeregisteredServers) != maxDeregisteredServers {
 		t.Errorf("%d and %d deregistered servers are held, want %d", len(m.newestDeregisteredStart), len(m.state.DeregisteredServers), maxDeregisteredServers)
@@ -90,7 +90,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := NewMachine()
 		for _, c := range rapid.SliceOf(rapid.Custom(drawCommand)).Draw(t, "commands") {
-			m.applyLocked(c)
+			m.applyLocked(0, c)
 		}
 		data, err := m.Snapshot()
 		if err != nil {
@@ -101,7 +101,7 @@
 			t.Fatal(err)
 		}
 		next := drawCommand(t)
-		if a, b := m.applyLocked(next), other.applyLocked(next); a != b {
+		if a, b := m.applyLocked(0, next), other.applyLocked(0, next); a != b {
 			t.Fatalf("command %+v changes one machine (%v) and not the other (%v)", next, a, b)
 		}
 		a, _ := m.State()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,10 +52,21 @@
 	HeartbeatInterval time.Duration
 	// TolerableLosses is the number of control hosts that may fail at the same time.
 	TolerableLosses int
+	// Features are the parts of the system that the deployment calls for.
+	Features Features
 	// Bounds are the guarantees of the deployment.
 	Bounds Bounds
 }
 
+// Features are the parts of the system that a deployment may call for.
+type Features struct {
+	// Rollouts is the guarded roll-out of new versions of services.
+	Rollouts bool
+	// ClientAccounts are the client accounts of a configuration, and AccountLimits their
+	// request limits.
+	ClientAccounts, AccountLimits bool
+}
+
 // Bounds are the guarantees of a deployment, as its settings state them.
 type Bounds struct {
 	// Drain is how long a backend server may still receive requests after its
@@ -77,6 +88,24 @@
 	ColdRateFactor, ColdSlack float64
 	// HealthChecksPerSecond bounds the rate of health checks of one backend server.
 	HealthChecksPerSecond float64
+	// ExposureShare and ExposureSlack bound the requests that reach a new version of a service
+	// that turns out to be bad: ExposureShare of the service's requests while it is rolled out,
+	// plus ExposureSlack. Rollback is the time after its 50th bad response within which it
+	// gets none.
+	ExposureShare float64
+	ExposureSlack int
+	Rollback      time.Duration
+	// StrictRevocation says that Revocation binds all hosts, also those that are cut off:
+	// the time from the acknowledgement of a configuration that removes a key until no request
+	// with that key runs.
+	StrictRevocation bool
+	Revocation       time.Duration
+	// LimitWindow is the span over which the requests of a client account are counted,
+	// LimitOvershoot the part by which they may exceed its limit, and LimitSlack a further number
+	// of requests.
+	LimitWindow    time.Duration
+	LimitOvershoot float64
+	LimitSlack     int
 }
 
 // DefaultBounds returns the bounds that apply where the settings state none.
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -64,6 +64,11 @@
 			c.session.log.Info().Str("event", "configuration_applied").Uint64("version", d.Version).Send()
 			c.session.onStateChange()
 		}
+	case protocol.KindCapabilities:
+		var m protocol.Capabilities
+		if err = link.Decode(body, &m); err == nil {
+			c.session.setCapabilities(c.conn, m)
+		}
 	case protocol.KindView:
 		err = c.handleView(body)
 	case protocol.KindRelays:
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -152,13 +152,13 @@
 	}
 	maxQueueWait := time.Duration(max(queueWaitObjectiveShare*float64(objective), queueWaitDeadlineShare*float64(left)))
 	startBy := boottime.Now() + maxQueueWait + grantStartTimeout
-	r, err := g.session.ask(ctx, ask, maxQueueWait)
+	r, err := g.session.ask(ctx, ask, g.askDetails(k), maxQueueWait)
 	if err == nil && r.grant != nil && !g.mayUse(r.grant) {
 		// The grant is older than what the broker knows by now, or the broker is of a build
 		// that doesn't know what servers say.
 		g.session.release(broker.Release{ID: r.grant.ID, Outcome: broker.Unused})
 		ask.ExcludedServers = slices.Concat(avoid, g.view.notAccepting(k.service, time.Now()))
-		r, err = g.session.ask(ctx, ask, maxQueueWait)
+		r, err = g.session.ask(ctx, ask, g.askDetails(k), maxQueueWait)
 	}
 	k.brokerWait += time.Since(now)
 	k.lastRefusal = r.refusal
@@ -188,6 +188,10 @@
 	return a, nil, nil
 }
 
+// askDetails returns what the deployment's configuration makes the broker need to know about a
+// request; empty if it is nothing.
+func (g *Gateway) askDetails(*callerRequest) broker.Details { return broker.Details{} }
+
 // mayUse reports whether this entry may use a grant: not to send a request itself while its path
 // to the servers is lost, or to a server that wants none or that the broker has removed since.
 func (g *Gateway) mayUse(grant *broker.Grant) bool {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -57,6 +57,8 @@
 
 	mu   sync.Mutex
 	conn *link.Conn
+	// capabilities are the further messages that the broker handles.
+	capabilities protocol.Capabilities
 	// lostSince is when the last broker was lost, or the process started, in
 	// [boottime.Now].
 	lostSince time.Duration
@@ -107,12 +109,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before = s.conn
-	s.conn = conn
+	s.conn, s.capabilities = conn, protocol.Capabilities{}
 	s.lastReceived, s.suspectSince = time.Now(), time.Time{}
 	s.failPendingAsks()
 	return before
 }
 
+// setCapabilities sets the further messages that the broker of a connection handles.
+func (s *session) setCapabilities(conn *link.Conn, m protocol.Capabilities) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn == conn {
+		s.capabilities = m
+	}
+}
+
 // failPendingAsks ends the asks that wait for a reply. The caller holds the lock.
 func (s *session) failPendingAsks() {
 	for seq, pending := range s.pendingAsks {
@@ -149,11 +160,12 @@
 	s.lostSince = boottime.Now() - paused
 }
 
-// ask asks the broker for a grant and waits for the reply. It returns
-// [errNoBroker] if no broker is connected or it did not reply in time.
-func (s *session) ask(ctx context.Context, ask broker.Ask, maxQueueWait time.Duration) (reply, error) {
+// ask asks the broker for a grant and waits for the reply. Details that are not empty are
+// sent to a broker that handles them. It returns [errNoBroker] if no broker is connected or it
+// did not reply in time.
+func (s *session) ask(ctx context.Context, ask broker.Ask, details broker.Details, maxQueueWait time.Duration) (reply, error) {
 	s.mu.Lock()
-	conn := s.conn
+	conn, detailed := s.conn, details != broker.Details{} && s.capabilities.DetailedAsks
 	if conn == nil || !s.suspectSince.IsZero() {
 		s.mu.Unlock()
 		return reply{}, errNoBroker
@@ -163,7 +175,7 @@
 	replies := make(chan reply, 1)
 	s.pendingAsks[ask.Seq] = replies
 	s.mu.Unlock()
-	if conn.Send(protocol.KindAsk, ask) != nil {
+	if sendAsk(conn, ask, details, detailed) != nil {
 		s.removeAsk(ask.Seq)
 		return reply{}, errNoBroker
 	}
@@ -187,6 +199,14 @@
 	}
 }
 
+// sendAsk sends an ask, with its details or without them.
+func sendAsk(conn *link.Conn, ask broker.Ask, details broker.Details, detailed bool) error {
+	if detailed {
+		return conn.Send(protocol.KindDetailedAsk, broker.DetailedAsk{Ask: ask, Details: details})
+	}
+	return conn.Send(protocol.KindAsk, ask)
+}
+
 // markReceived records that the broker sent a message.
 func (s *session) markReceived() {
 	s.mu.Lock()
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -56,8 +56,47 @@
 	// KindZoneOrderCall is a call for the leader to execute an operator's order on an
 	// availability zone. Control hosts that don't know it reject it.
 	KindZoneOrderCall
+	// KindCapabilities tells an entry which further messages the broker handles. The broker
+	// sends it right after its welcome; a broker that doesn't send it handles none of them,
+	// and entries that don't know it ignore it.
+	KindCapabilities
+	// KindDetailedAsk is an ask with what the broker needs to know about the request's route
+	// and client account.
+	KindDetailedAsk
+	// KindVersions tells other control hosts the software versions of backend servers.
+	KindVersions
+	// KindRollouts tells entries the roll-outs in progress and the servers that they may use
+	// with a grant only.
+	KindRollouts
+	// KindResult tells the broker how a request of a service with a roll-out ended.
+	KindResult
+	// KindRolloutOrderCall is a call for the leader to execute an operator's order on a
+	// roll-out. Control hosts that don't know it reject it.
+	KindRolloutOrderCall
+	// KindCurrencyQuery asks the broker to confirm that an entry's configuration is the newest,
+	// and KindCurrency is its reply.
+	KindCurrencyQuery
+	KindCurrency
+	// KindAccountShares tells entries what part of the client accounts' request limits they may
+	// use without a broker.
+	KindAccountShares
+	// KindAccountUse tells a broker what an entry has used of the client accounts' request
+	// limits without a broker.
+	KindAccountUse
 )
 
+// Capabilities are the further messages that a broker handles.
+type Capabilities struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// DetailedAsks says that the broker handles [KindDetailedAsk].
+	DetailedAsks bool
+	// Results says that the broker handles [KindResult].
+	Results bool
+	// Currency says that the broker handles [KindCurrencyQuery] and [KindAccountUse].
+	Currency bool
+}
+
 // ControlHost is a control host in a [Directory].
 type ControlHost struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
