Let a control host outlive a full disk

A control host whose disk refused a write ended its process after three seconds, ended again at each start while the disk was full, and left its leadership to an election timeout. Meanwhile it refuses heartbeats, since it doesn't learn who leads, and commands as not run.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -219,12 +219,24 @@
 		if err := n.drainReady(); err != nil {
 			n.failure = errors.Wrapf(err, "group %q", n.options.Group)
 			n.log.Error().Err(err).Msg("replica stopped: the durable state is unknown")
+			n.stepAside()
 			n.failPending()
 			return
 		}
 	}
 }
 
+// stepAside makes another voter lead in place of this replica, whose disk or state machine
+// has failed. It sends no message that depends on what the disk has not taken.
+func (n *Node) stepAside() {
+	if m, ok := n.core.Abdicate(); ok {
+		n.send([]raft.Message{m})
+	}
+	s := *n.status.Load()
+	s.Role, s.Leader, s.LeaderID, s.Answering = raft.Follower.String(), "", 0, nil
+	n.status.Store(&s)
+}
+
 // tick advances the core's clock and proposes membership changes that are due.
 func (n *Node) tick() {
 	n.core.Tick()
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -10,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"tanagerbarrow/consensus/raft"
+	"tanagerbarrow/consensus/waltest"
 	"tanagerbarrow/verdict"
 )
 
@@ -214,3 +217,45 @@
 		}
 	})
 }
+
+// TestFullDiskEndsLeadershipAtOnce refuses every write of the leader's disk, as a full disk does:
+// another replica leads without waiting for an election timeout, and what was accepted stays.
+// Opened again once its disk takes writes, the replica follows.
+func TestFullDiskEndsLeadershipAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.stop()
+		first := g.leader()
+		outcomes := &outcomeChecker{}
+		outcomes.record("before", g.propose(first, "before"))
+		full := errors.New("no space left on device")
+		first.disk.SetHook(func(op waltest.Op, _ string, after bool) error {
+			if op == waltest.OpWrite && !after {
+				return full
+			}
+			return nil
+		})
+		failedAt := time.Now()
+		outcomes.record("during", g.propose(first, "during"))
+		<-first.node.Done()
+		var successor *process
+		g.eventually("another replica leads", func() bool {
+			for _, p := range g.processes {
+				if p != first && p.node.Status().Role == raft.Leader.String() {
+					successor = p
+				}
+			}
+			return successor != nil
+		})
+		if took := time.Since(failedAt); took >= electionTicks*tickPeriod {
+			t.Errorf("another replica leads after %s, an election timeout is at least %s", took, electionTicks*tickPeriod)
+		}
+		outcomes.record("after", g.propose(successor, "after"))
+		first.disk.SetHook(nil)
+		if err := first.node.Close(); !errors.Is(err, full) {
+			t.Errorf("the replica ended with %v", err)
+		}
+		g.start(first)
+		outcomes.check(g)
+	})
+}
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -192,6 +192,11 @@
 func (n *Node) proposeLocally(ctx context.Context, command []byte, term uint64) outcome {
 	p := &proposal{command: command, term: term, done: make(chan outcome, 1)}
 	select {
+	case <-n.done:
+		return outcome{err: n.stoppedError(verdict.NotRun)}
+	default:
+	}
+	select {
 	case n.proposals <- p:
 	default:
 		return outcome{err: verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeLogBusy,
--- a/consensus/raft/election.go
+++ b/consensus/raft/election.go
@@ -182,3 +182,23 @@
 	}
 	return 0
 }
+
+// Abdicate returns the message by which a leader that can lead no further asks the voter with
+// the most of its log to start an election at once; ok is false if there is none, or if this
+// replica doesn't lead. It is safe at any time: the voters still choose by their own logs.
+func (c *Core) Abdicate() (m Message, ok bool) {
+	if c.role != Leader {
+		return Message{}, false
+	}
+	var successor ReplicaID
+	for _, v := range c.members().Voters {
+		p := c.progress[v.ID]
+		if p == nil || v.ID == c.id || !c.answeredRecently(v.ID) {
+			continue
+		}
+		if successor == 0 || p.match > c.progress[successor].match {
+			successor = v.ID
+		}
+	}
+	return Message{Type: TimeoutNow, From: c.id, To: successor, Term: c.term}, successor != 0
+}
--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -20,6 +20,10 @@
 // leader if necessary. The heartbeat of a draining server commits its
 // deregistration.
 func (c *Coordinator) Announce(ctx context.Context, b registry.BackendServer) error {
+	if c.node.failed() {
+		// This host doesn't learn who leads; another one can pass the heartbeat on.
+		return errReplicaFailed
+	}
 	if b.Draining {
 		return c.commitDeregistration(ctx, declare.DeregisteredServer{ID: b.ID, Started: b.Started})
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -44,10 +44,6 @@
 	leaseDuration = 380 * time.Millisecond
 )
 
-// replicaFailureDelay is how long a process whose disk failed waits before it
-// exits.
-const replicaFailureDelay = 3 * time.Second
-
 // maxRecordLinesPerSecond bounds the log lines about invalid records.
 const maxRecordLinesPerSecond = 20
 
@@ -64,6 +60,8 @@
 	Log zerolog.Logger
 	// Metrics is the set in which the metrics are registered.
 	Metrics *metrics.Set
+	// Disk holds the replica's files; nil for the operating system's file system.
+	Disk wal.FS
 }
 
 // Coordinator is one control host.
@@ -74,7 +72,7 @@
 	// recordLog passes on a bounded number of lines a second about invalid records.
 	recordLog zerolog.Logger
 	machine   *declare.Machine
-	node      *consensus.Node
+	node      *replica
 	mesh      *mesh
 	metrics   *hostMetrics
 	store     *recordStore
@@ -103,6 +101,9 @@
 	if s.DataFolder == "" || !s.ControlAddress.IsValid() {
 		return nil, errors.New("a control host needs a data folder and a control address")
 	}
+	if o.Disk == nil {
+		o.Disk = wal.OS{}
+	}
 	c := &Coordinator{
 		options: o, log: o.Log, recordLog: telemetry.NewRateLimitedLogger(o.Log, "records", maxRecordLinesPerSecond), machine: declare.NewMachine(), records: registry.NewTable(),
 		inbound: map[*inboundLink]bool{}, lastForwarded: map[string]time.Time{}, recordsChanged: make(chan struct{}, 1),
@@ -127,16 +128,22 @@
 	if err != nil {
 		return err
 	}
-	c.node, err = consensus.Open(consensus.Options{
-		Group: groupName, Name: s.Host.Name, Folder: filepath.Join(s.DataFolder, groupName), FS: wal.OS{},
+	c.node, err = openReplica(func() (*consensus.Node, error) { return consensus.Open(c.replicaOptions(first)) })
+	return err
+}
+
+// replicaOptions returns the options of the replica.
+func (c *Coordinator) replicaOptions(first *firstStart) consensus.Options {
+	s := c.options.Settings
+	return consensus.Options{
+		Group: groupName, Name: s.Host.Name, Folder: filepath.Join(s.DataFolder, groupName), FS: c.options.Disk,
 		Machine: c.machine, Transport: c.mesh, Log: c.log, CommitDuration: c.metrics.commitSeconds,
 		TickPeriod: tickPeriod, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
 		FirstElectionTicks: firstElectionTicks,
 		Discovery: &consensus.Discovery{
 			Hosts: c.mesh.members, Voters: s.Voters(), MayBootstrap: first != nil && first.MayBootstrap, FirstStart: first != nil,
 		},
-	})
-	return err
+	}
 }
 
 // Run serves until ctx ends or the replica fails.
@@ -151,17 +158,7 @@
 	c.goroutines.Go(func() { c.maintainLease(ctx) })
 	c.goroutines.Go(func() { c.saveChangedRecords(ctx) })
 	c.goroutines.Go(func() { c.watchPauses(ctx) })
-	select {
-	case <-ctx.Done():
-	case <-c.node.Done():
-		// The disk failed. A process that restarts at once would fail again.
-		c.stopLeading("replica failed")
-		select {
-		case <-ctx.Done():
-		case <-time.After(replicaFailureDelay):
-		}
-	}
-	err = c.node.Close()
+	err = c.runReplica(ctx)
 	c.stopLeading("stop")
 	return errors.CombineErrors(err, listener.Close())
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/consensus/wal"
 	"tanagerbarrow/declare"
 	"tanagerbarrow/fleet"
 	"tanagerbarrow/registry"
@@ -31,6 +32,8 @@
 	seeds   []netip.AddrPort
 	running map[int]*runningHost
 	folders map[int]string
+	// disks are the disks of the hosts that don't use the operating system's as it is.
+	disks map[int]wal.FS
 }
 
 // runningHost is a started control host.
@@ -51,7 +54,7 @@
 	_ = listener.Close()
 	// The first call sets when the folders are removed: after the hosts have stopped.
 	t.TempDir()
-	c := &testCluster{t: t, port: port, running: map[int]*runningHost{}, folders: map[int]string{}}
+	c := &testCluster{t: t, port: port, running: map[int]*runningHost{}, folders: map[int]string{}, disks: map[int]wal.FS{}}
 	for n := range 3 {
 		c.seeds = append(c.seeds, netip.AddrPortFrom(hostAddress(n), port+1))
 	}
@@ -80,7 +83,7 @@
 			DataFolder: c.folders[n], HeartbeatInterval: 1500 * time.Millisecond, TolerableLosses: 2, Bounds: fleet.DefaultBounds(),
 		},
 		Decode: func([]byte) (*route.Configuration, error) { return &route.Configuration{}, nil },
-		Log:    zerolog.Nop(), Metrics: metrics.NewSet(),
+		Log:    zerolog.Nop(), Metrics: metrics.NewSet(), Disk: c.disks[n],
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/declare/machine.go
+++ b/declare/machine.go
@@ -219,6 +219,9 @@
 // Restore is [Machine.RestoreAt] for a snapshot without a position in a log.
 func (m *Machine) Restore(data []byte) error { return m.RestoreAt(0, data) }
 
+// Reset returns to the empty state, as before the first command of a log.
+func (m *Machine) Reset() error { return m.RestoreAt(0, []byte("{}")) }
+
 // RestoreAt replaces the state with that of a snapshot that covers the log up to an index.
 func (m *Machine) RestoreAt(index uint64, data []byte) error {
 	s := State{}
