Give up answers with odd statuses and early answers that are reset

A reset that the write of an upload receives looks like an ordinary end to the read of the response, so the part of an early 200 without a length counted as whole. The parser of the standard library takes any three characters that are a number as a status: 600 and 999 were passed on, and numbers below 100 counted as informational.

An exchange now fails unless the status is from 100 to 599, and a response that ends with its connection is whole only if the upload was written completely.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -242,7 +242,23 @@
 	if e.transferLimit > 0 && e.transferTimer == nil {
 		e.transferTimer = time.AfterFunc(e.transferLimit, func() { _ = e.conn.Close() })
 	}
-	return http.ReadResponse(e.conn.reader, r)
+	res, err := http.ReadResponse(e.conn.reader, r)
+	if err == nil && !validStatus(res) {
+		return nil, errors.Newf("the answer has status %.20q", res.Status)
+	}
+	return res, err
+}
+
+// The range of a status in HTTP.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// validStatus reports whether the status of a response is one of HTTP. The parser also accepts
+// signs and any number of three characters, and one below 100 would count as informational.
+func validStatus(res *http.Response) bool {
+	return res.StatusCode >= minStatus && res.StatusCode <= maxStatus && res.Status[0] >= '1' && res.Status[0] <= '9'
 }
 
 // stopTransferTimer stops the limit of the transfer. It returns false if the limit
@@ -327,6 +343,9 @@
 	if err == nil {
 		return n, nil
 	}
+	if errors.Is(err, io.EOF) && b.endsWithConnection() && !b.exchange.upload.complete() {
+		err = errUploadCut
+	}
 	b.ended = err
 	if errors.Is(err, io.EOF) {
 		b.exchange.finish(b.res)
@@ -336,6 +355,16 @@
 	return n, err
 }
 
+// errUploadCut is returned for a response whose end can't be told from a reset.
+var errUploadCut = errors.New("the connection ended during the upload, the answer has no length")
+
+// endsWithConnection reports whether the response ends where its connection does. If the
+// connection is reset while the request is being written, the write receives the error, and
+// reads see an ordinary end. Such a response is whole only if the upload is complete.
+func (b *responseBody) endsWithConnection() bool {
+	return b.res.ContentLength < 0 && len(b.res.TransferEncoding) == 0
+}
+
 // Close closes the connection unless the complete response was read.
 func (b *responseBody) Close() error {
 	if b.ended == nil {
