--- a/registry/registry.go
+++ b/registry/registry.go
@@ -31,6 +31,8 @@
 	// ColdRemaining is how much longer the server stays cold, counted from the time
 	// of the heartbeat.
 	ColdRemaining time.Duration
+	// Version is the version of the server's software; empty if the server named none.
+	Version string
 }
 
 // Record is a backend server together with the local state about it.
