Decide in the broker how a new version is rolled out

A service with a roll-out in progress gives the new version a bounded share of its first attempts, compares its responses with the old version's at the same time and route, and switches over or rolls back. Package rollout holds the decisions: the exposure, a sequential test of failures and slow responses, and the plan of the stages. The broker places the canary's requests, leaves the servers of the other version out of its room, and passes on results. Services without a roll-out are served as before.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerbarrow/registry"
+	"tanagerbarrow/rollout"
 	"tanagerbarrow/route"
 )
 
@@ -32,6 +33,8 @@
 	// ServersKnownFrom is the time by which the broker has received the records of
 	// all running servers. Before it, no ask is refused for lack of free slots.
 	ServersKnownFrom time.Time
+	// Exposure bounds the requests that reach a new version that turns out to be bad.
+	Exposure rollout.Bounds
 }
 
 // DefaultSilenceTimeout is three of the users' heartbeat intervals.
@@ -53,6 +56,8 @@
 	adoptedLimits map[string]adoptedLimit
 	// left holds the starts of servers that have left in this broker's term.
 	left map[serverStart]bool
+	// rollouts holds, by service, the roll-out in progress or else the last.
+	rollouts map[string]*serviceRollout
 
 	lastServerNumber uint32
 	lastGrantID      uint64
@@ -71,6 +76,10 @@
 	expiresAt time.Time
 	// relay is the entry that relays the request, or nil.
 	relay *entry
+	// route is the name of the request's route, if its ask told it, and overdue says that its
+	// response counts as slow already.
+	route   string
+	overdue bool
 }
 
 // sender returns the entry that sends the request to the server.
@@ -90,7 +99,7 @@
 		options: o, zonesOut: map[string]bool{}, pools: map[string]*pool{},
 		servers: map[uint32]*Server{}, byID: map[string]*Server{}, entries: map[string]*entry{},
 		grants: map[uint64]*grant{}, crashSuspects: map[uint64]*crashSuspect{}, lastGrantID: o.GrantIDBase,
-		adoptedLimits: map[string]adoptedLimit{}, left: map[serverStart]bool{},
+		adoptedLimits: map[string]adoptedLimit{}, left: map[serverStart]bool{}, rollouts: map[string]*serviceRollout{},
 		index: route.NewIndex(&route.Configuration{}),
 	}
 }
@@ -268,6 +277,7 @@
 	}
 	b.expireCrashSuspects(now)
 	b.expireAdoptedLimits(now)
+	b.updateRollouts(now)
 	b.serveQueues(now)
 }
 
--- a/broker/place.go
+++ b/broker/place.go
@@ -163,7 +163,7 @@
 
 // allowed reports whether the operators and the request itself allow a server.
 func (b *Broker) allowed(s *Server, w *pendingAsk) bool {
-	return !b.zonesOut[s.Record.AvailabilityZone] && !slices.Contains(w.ask.ExcludedServers, s.Number) &&
+	return !b.zonesOut[s.Record.AvailabilityZone] && b.versionAllows(s, w) && !slices.Contains(w.ask.ExcludedServers, s.Number) &&
 		(len(w.ask.HomeRegions) == 0 || slices.Contains(w.ask.HomeRegions, s.Region))
 }
 
@@ -273,12 +273,14 @@
 	g := &grant{
 		id: b.lastGrantID, seq: w.ask.Seq, entry: w.entry, server: s, fingerprint: w.ask.Fingerprint,
 		grantedAt: now, expiresAt: now.Add(millis(w.ask.DeadlineMillis) + time.Second), relay: relay,
+		route: w.details.Route,
 	}
 	b.grants[g.id] = g
 	w.entry.grantIDs[g.seq] = g.id
 	s.activeGrants++
 	s.everGranted = true
 	s.countRequest(now)
+	b.countRolloutGrant(w, s, now)
 	if s.cold(now) {
 		s.coldGrantTimes = append(s.coldGrantTimes, now)
 	}
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -67,6 +67,8 @@
 	// missesObjective says that the request can no longer receive its response
 	// within its latency objective.
 	missesObjective bool
+	// canary says that a server of a new version is sought for the ask.
+	canary bool
 }
 
 // slidingWindow counts the events of a recent span of time.
@@ -96,7 +98,7 @@
 // requests these servers can run at a time.
 func (p *pool) slotUsage(b *Broker, now time.Time) (all, busy int, capacity float64) {
 	for _, s := range p.servers {
-		if s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && !s.cold(now) {
+		if s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && !s.cold(now) && b.versionServes(s) {
 			all += s.Record.Slots
 			busy += s.activeGrants
 			capacity += s.capacity(p.serviceTime)
@@ -140,6 +142,9 @@
 	if b.refuseForBackoff(p, w, now) {
 		return
 	}
+	if b.tryCanary(p, w, now) {
+		return
+	}
 	if len(p.queue) == 0 && b.tryGrant(p, b.serversWithFreeSlot(p, now), w, now) {
 		return
 	}
--- /dev/null
+++ b/rollout/decide.go
@@ -0,0 +1,104 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"tanagerbarrow/declare"
+)
+
+// What a service needs before its old servers get nothing more.
+const (
+	// switchRoom is how many slots of new servers there are to be for each request in progress at
+	// the peak, and leastSwitchRoom how many when the switch can't wait any longer.
+	switchRoom      = 1.2
+	leastSwitchRoom = 0.8
+	// observedServiceTimes is how long the new version is observed after the switch, as a
+	// multiple of the mean service time, and leastObserved the least time: a fault may show under
+	// the full load only.
+	observedServiceTimes = 3
+	leastObserved        = 500 * time.Millisecond
+)
+
+// Conditions are what the decision on the next stage depends on besides the evidence.
+type Conditions struct {
+	Stage declare.RolloutStage
+	// NewServers and NewSlots are the numbers of usable servers of the new version and of their
+	// slots; those of cold servers don't count.
+	NewServers, NewSlots int
+	// PeakLoad is the highest recent number of requests in progress.
+	PeakLoad float64
+	// ServiceTime is the mean service time of a request.
+	ServiceTime time.Duration
+	// SwitchedAt is when the service was switched, and LeftOnOld the number of requests that may
+	// still run on old servers.
+	SwitchedAt time.Time
+	LeftOnOld  int
+}
+
+// Rollout is the roll-out of one service.
+type Rollout struct {
+	Plan     Plan
+	Exposure *Exposure
+	Evidence *Evidence
+}
+
+// Next returns the stage to which the roll-out is to move now and the reason; an empty stage and
+// the reason why it waits if there is none.
+func (r *Rollout) Next(c Conditions, now time.Time) (stage declare.RolloutStage, reason string) {
+	if v := r.Evidence.Verdict(); v != nil {
+		return declare.RolloutRolledBack, v.Reason
+	}
+	if c.Stage == declare.RolloutSwitching {
+		return r.completion(c, now)
+	}
+	if now.Before(r.Plan.SwitchAt(c.ServiceTime)) {
+		return "", "the canary gathers evidence"
+	}
+	if reason := r.lacksEvidence(now); reason != "" {
+		return "", reason
+	}
+	last := !now.Before(r.Plan.LatestSwitch(c.ServiceTime))
+	if doubt := r.Evidence.Doubtful(c.NewServers); doubt != "" {
+		if last {
+			return declare.RolloutRolledBack, "in doubt at the end: " + doubt
+		}
+		return "", "in doubt: " + doubt
+	}
+	wanted := switchRoom * c.PeakLoad
+	if last {
+		wanted = leastSwitchRoom * c.PeakLoad
+	}
+	room := fmt.Sprintf("%d slots of new servers for %.0f requests at the peak", c.NewSlots, c.PeakLoad)
+	if c.NewSlots == 0 || float64(c.NewSlots) < wanted {
+		return "", "the new servers have too little room: " + room
+	}
+	return declare.RolloutSwitching, room
+}
+
+// lacksEvidence returns why the new version can't be judged yet; empty if it can. A version
+// that could break the bound isn't switched to unseen: it is completed late instead. After twice
+// the time that the operator allowed, a service has so few requests that they show nothing.
+func (r *Rollout) lacksEvidence(now time.Time) string {
+	longOverdue := now.Sub(r.Plan.Due) >= r.Plan.duration()
+	if n := r.Evidence.Answers(); n < EnoughAnswers && !r.Exposure.FitsBlindly(now) && !longOverdue {
+		return fmt.Sprintf("%d of %d responses that a verdict needs", n, EnoughAnswers)
+	}
+	return ""
+}
+
+// completion returns whether old servers have finished.
+func (r *Rollout) completion(c Conditions, now time.Time) (stage declare.RolloutStage, reason string) {
+	reason = fmt.Sprintf("%d requests left on old servers", c.LeftOnOld)
+	observe := max(leastObserved, observedServiceTimes*c.ServiceTime)
+	if now.Before(r.Plan.CompleteBy()) && (c.LeftOnOld > 0 || now.Sub(c.SwitchedAt) < observe) {
+		return "", reason
+	}
+	return declare.RolloutCompleted, reason
+}
+
+// Figures returns the counts so far for operators.
+func (r *Rollout) Figures() string {
+	all, canary := r.Exposure.Counts()
+	return fmt.Sprintf("%d of %d requests to new servers; %s", canary, all, r.Evidence.Summary())
+}
--- /dev/null
+++ b/rollout/exposure.go
@@ -0,0 +1,151 @@
+package rollout
+
+import "time"
+
+// Parts of a service's requests that a new version may get while it is a canary.
+const (
+	// canaryShare is the part of all requests since this broker began to count that may go to the
+	// new version, relative to the bound of the deployment. The rest is for requests on their way
+	// when the verdict falls, and for the first responses after the switch.
+	canaryShare = 0.7
+	// earlyShare is the part of canaryShare that may be used before lateFrom. What it leaves is
+	// used right before the switch, when a version that turns bad late shows.
+	earlyShare = 0.5
+	lateFrom   = 0.55
+	// spreadShare is the part of the allowance that is used while requests are spread over all
+	// new servers. The rest is used when they are grouped on few.
+	spreadShare = 0.6
+	// maxDrawnShare bounds the part of the requests of one route that is drawn at a time, so that
+	// there is always a baseline to compare with.
+	maxDrawnShare = 0.5
+	// groupPeriod is how often requests are grouped, and groupLength for how long.
+	groupPeriod = 3 * time.Second
+	groupLength = time.Second
+	// lowTrafficRequests is the number of canary requests that the usual share would give in the
+	// whole span below which a service has little traffic, and lowTrafficSlack the part of the
+	// bound's slack that it may use then.
+	lowTrafficRequests = 60
+	lowTrafficSlack    = 0.4
+	// maxCredit bounds the requests of a route that may be made up for.
+	maxCredit = 3.0
+)
+
+// Bounds are the guarantees about the requests that reach a bad version: Share of the service's
+// requests plus Slack.
+type Bounds struct {
+	Share float64
+	Slack int
+}
+
+// Exposure counts the requests of a service and draws those that the new version gets.
+type Exposure struct {
+	bounds Bounds
+	plan   Plan
+	// complete says that all requests since the order have been counted.
+	complete bool
+	since    time.Time
+	all      int
+	canary   int
+	routes   map[string]*routeShare
+}
+
+// routeShare is what one route has got of the canary's share.
+type routeShare struct {
+	requests int
+	credit   float64
+}
+
+// NewExposure returns an exposure that counts from now. Complete says that this is the time
+// of the order; else requests that were not counted may have used the slack.
+func NewExposure(b Bounds, p Plan, complete bool, now time.Time) *Exposure {
+	return &Exposure{bounds: b, plan: p, complete: complete, since: now, routes: map[string]*routeShare{}}
+}
+
+// Counts returns the numbers of counted requests and of those among them that the new version
+// got.
+func (x *Exposure) Counts() (all, canary int) { return x.all, x.canary }
+
+// Count counts a request that was granted a server. Retries don't widen the exposure.
+func (x *Exposure) Count(canary, retry bool) {
+	if !retry {
+		x.all++
+	}
+	if canary {
+		x.canary++
+	}
+}
+
+// lowTraffic reports whether the service has too few requests to judge by the usual share.
+func (x *Exposure) lowTraffic(now time.Time) bool {
+	elapsed := max(now.Sub(x.since).Seconds(), 1)
+	expected := float64(x.all) / elapsed * x.plan.Due.Sub(x.since).Seconds()
+	return expected*x.bounds.Share*canaryShare*lateFrom < lowTrafficRequests
+}
+
+// allowance is the number of requests that the new version may have got by now.
+func (x *Exposure) allowance(now time.Time) float64 {
+	share := x.bounds.Share * canaryShare
+	if x.lowTraffic(now) {
+		if x.complete {
+			return share*float64(x.all) + lowTrafficSlack*float64(x.bounds.Slack)
+		}
+		return share * float64(x.all)
+	}
+	if x.plan.progress(now) < lateFrom {
+		share *= earlyShare
+	}
+	return share * float64(x.all)
+}
+
+// Grouping reports whether the canary's requests are to run on few servers now, so that a fault
+// shows that only loaded servers have.
+func (x *Exposure) Grouping(now time.Time) bool {
+	return now.Sub(x.plan.Began)%groupPeriod >= groupPeriod-groupLength
+}
+
+// Draw reports whether a first attempt of a route is to go to the new version.
+func (x *Exposure) Draw(route string, now time.Time) bool {
+	r := x.routes[route]
+	if r == nil {
+		r = &routeShare{}
+		x.routes[route] = r
+	}
+	r.requests++
+	r.credit = min(r.credit+x.drawnShare(r, now), maxCredit)
+	return r.credit >= 1 && float64(x.canary+1) <= x.allowance(now)
+}
+
+// Took records that a drawn request went to the new version.
+func (x *Exposure) Took(route string) { x.routes[route].credit-- }
+
+// drawnShare is the part of a route's requests that is drawn now. Half of the canary's requests
+// are divided equally among the routes, so that a rare one gives evidence as well.
+func (x *Exposure) drawnShare(r *routeShare, now time.Time) float64 {
+	if x.Grouping(now) || x.lowTraffic(now) {
+		return maxDrawnShare
+	}
+	share := x.bounds.Share * canaryShare
+	if x.plan.progress(now) < lateFrom {
+		share *= earlyShare * spreadShare
+	} else {
+		// What was saved is used until the switch.
+		share *= 1 + (1-earlyShare)*lateFrom/(1-lateFrom)
+	}
+	total := 0
+	for _, other := range x.routes {
+		total += other.requests
+	}
+	equal := float64(total) / float64(len(x.routes)*r.requests)
+	return min(share*(1+equal)/2, maxDrawnShare)
+}
+
+// FitsBlindly reports whether the new version would stay within the bound if it got all further
+// requests until the due time, as it may in a service with very little traffic.
+func (x *Exposure) FitsBlindly(now time.Time) bool {
+	elapsed := now.Sub(x.since).Seconds()
+	if elapsed < 1 || !x.complete {
+		return false
+	}
+	rest := max(0, x.plan.Due.Sub(now).Seconds()) * float64(x.all) / elapsed
+	return float64(x.canary)+1.5*rest <= float64(x.bounds.Slack)*(1-lowTrafficSlack)+x.bounds.Share*float64(x.all)
+}
