Take orders for roll-outs and know the servers' versions

An operator's order to move a service to a new version was answered 404, and the version in heartbeats was not read.

The leader executes such orders as those on availability zones: the position of the log in a redirect keeps an order that was delayed from beginning a roll-out anew behind a newer one. The mechanism is shared now.

Versions travel between control hosts beside the heartbeats, whose layout stays, and ahead of them; only where the settings call for roll-outs or one was ordered. A heartbeat without a version doesn't take a known one away.

--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -29,6 +29,7 @@
 	}
 	now := time.Now()
 	if o := c.recordHeartbeat(b, now); c.shouldForward(b, o, now) {
+		c.forwardVersion(b)
 		c.sendToLeader(protocol.KindHeartbeat, recordToWire(registry.Record{BackendServer: b, LastHeartbeat: now}, now))
 	}
 	return nil
@@ -79,6 +80,7 @@
 		return registry.Stale
 	}
 	c.mu.Lock()
+	c.completeVersion(&b)
 	o, replaced := c.records.Announce(b, heard)
 	var r registry.Record
 	if held := c.records.Get(b.ID); held != nil {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -88,6 +88,7 @@
 	// lastForwarded holds, by server ID, when a heartbeat was last forwarded to
 	// the leader.
 	lastForwarded map[string]time.Time
+	versions      versionTable
 
 	// recordsChanged wakes saveChangedRecords.
 	recordsChanged chan struct{}
@@ -115,7 +116,9 @@
 	c.mesh = newMesh(c)
 	c.metrics = newHostMetrics(c, o.Metrics)
 	c.store = newRecordStore(filepath.Join(s.DataFolder, recordsFile), c.log)
+	c.versions = c.store.loadVersions()
 	for _, r := range c.store.load(time.Now()) {
+		c.completeVersion(&r.BackendServer)
 		c.records.Announce(r.BackendServer, r.LastHeartbeat)
 	}
 	return c, c.open()
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -82,8 +82,10 @@
 			ControlAddress: netip.AddrPortFrom(hostAddress(n), c.port+1), Seeds: c.seeds, FirstStart: firstStart,
 			DataFolder: c.folders[n], HeartbeatInterval: 1500 * time.Millisecond, TolerableLosses: 2, Bounds: fleet.DefaultBounds(),
 		},
-		Decode: func([]byte) (*route.Configuration, error) { return &route.Configuration{}, nil },
-		Log:    zerolog.Nop(), Metrics: metrics.NewSet(), Disk: c.disks[n],
+		Decode: func([]byte) (*route.Configuration, error) {
+			return &route.Configuration{Services: []route.Service{{Name: "s"}, {Name: "other"}}}, nil
+		},
+		Log: zerolog.Nop(), Metrics: metrics.NewSet(), Disk: c.disks[n],
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -100,10 +100,10 @@
 	relaysSentAt time.Time
 	// sentEntryCount is the number of connected entries that all sessions know.
 	sentEntryCount int
-	// zoneOrders is held by the order on a zone that is being executed. zoneOrderPending
-	// says that the outcome of an earlier one is unknown; it is accessed by the holder.
-	zoneOrders       chan struct{}
-	zoneOrderPending bool
+	// orders is held by the operator's order that is being executed. orderPending says that
+	// the outcome of an earlier one is unknown; it is accessed by the holder.
+	orders       chan struct{}
+	orderPending bool
 	// sessionsAdded is whether sessions were added since the last distribution.
 	sessionsAdded bool
 }
@@ -116,7 +116,7 @@
 		c: c, term: term, events: make(chan func(time.Time), eventCapacity),
 		urgent: make(chan func(time.Time), urgentCapacity), done: make(chan struct{}),
 		log: c.log, ejectionLog: telemetry.NewRateLimitedLogger(c.log, "ejections", maxEjectionLinesPerSecond), sessions: map[string]*inboundLink{}, views: map[string]*entryView{}, assignedChecks: map[string][]uint32{},
-		sentRelays: map[string][]protocol.Relay{}, zoneOrders: make(chan struct{}, 1),
+		sentRelays: map[string][]protocol.Relay{}, orders: make(chan struct{}, 1),
 		index: route.NewIndex(&route.Configuration{}),
 		broker: broker.New(broker.Options{
 			Regions: c.options.Settings.Regions, Zone: c.self.AvailabilityZone, RetryRatio: b.RetryRatio, RetryExtra: b.RetryExtra,
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -86,12 +86,18 @@
 func (c *Coordinator) fetchRecords(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchRecordsTimeout)
 	defer cancel()
+	versions := make(chan struct{})
+	go func() {
+		defer close(versions)
+		c.fetchVersions(ctx, address)
+	}()
 	var records []protocol.Heartbeat
 	if err := c.mesh.call(ctx, address, protocol.KindRecordsCall, struct{}{}, &records); err != nil {
 		c.log.Warn().Str("event", "records_not_fetched").Str("address", address).Err(err).Send()
 		return
 	}
 	now := time.Now()
+	<-versions
 	for _, r := range records {
 		c.recordHeartbeat(serverFromWire(r), now.Add(-time.Duration(r.AgeMillis)*time.Millisecond))
 	}
@@ -112,14 +118,13 @@
 	c.announceLeader()
 }
 
-// sendToLeader sends a message to the leading host. It drops the message if no
-// leader is known and connected, or if this host leads.
-func (c *Coordinator) sendToLeader(kind link.Kind, v any) {
+// sendToLeader sends a message to the leading host and reports whether it did. It drops the
+// message if no leader is known and connected, or if this host leads.
+func (c *Coordinator) sendToLeader(kind link.Kind, v any) bool {
 	address, _ := c.leaderAddress()
 	if address == "" || address == c.self.PeerAddress {
-		return
-	}
-	if conn := c.mesh.outboundTo(address).open(); conn != nil {
-		_ = conn.Send(kind, v)
+		return false
 	}
+	conn := c.mesh.outboundTo(address).open()
+	return conn != nil && conn.Send(kind, v) == nil
 }
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -53,12 +53,24 @@
 
 // countZoneOrder counts an order on a zone by its result.
 func (m *hostMetrics) countZoneOrder(err error) {
-	result := "executed"
+	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_zone_orders_total{result=%q}", orderResultName(err))).Inc()
+}
+
+// countRolloutOrder counts an order for a roll-out by its result.
+func (m *hostMetrics) countRolloutOrder(err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_rollout_orders_total{result=%q}", orderResultName(err))).Inc()
+}
+
+// orderResultName names the result of an order in metrics.
+func orderResultName(err error) string {
 	switch {
+	case err == nil:
+		return "executed"
 	case errors.Is(err, declare.ErrOutdatedOrder):
-		result = "outdated"
-	case err != nil:
-		result = "failed"
+		return "outdated"
+	case errors.Is(err, declare.ErrRolloutInProgress), errors.Is(err, declare.ErrUnknownService), errors.Is(err, declare.ErrInvalidRollout):
+		return "refused"
+	default:
+		return "failed"
 	}
-	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_zone_orders_total{result=%q}", result)).Inc()
 }
--- a/coordinator/records.go
+++ b/coordinator/records.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,13 +37,13 @@
 // sent a heartbeat. The file is a hint: a server loaded from it gets requests
 // only once a heartbeat or a health check has confirmed it.
 type recordStore struct {
-	path string
-	log  zerolog.Logger
+	path, versionsPath string
+	log                zerolog.Logger
 }
 
-// newRecordStore returns a store that uses the file at path.
+// newRecordStore returns a store that uses the file at path, and one for versions beside it.
 func newRecordStore(path string, log zerolog.Logger) *recordStore {
-	return &recordStore{path: path, log: log}
+	return &recordStore{path: path, versionsPath: filepath.Join(filepath.Dir(path), versionsFile), log: log}
 }
 
 // load returns the stored records. A file that is missing, truncated or
@@ -80,12 +81,15 @@
 }
 
 // save replaces the stored records.
-func (s *recordStore) save(records []protocol.Heartbeat) error {
-	data, err := json.Marshal(records)
+func (s *recordStore) save(records []protocol.Heartbeat) error { return replaceFile(s.path, records) }
+
+// replaceFile replaces the content of a file by a value in JSON.
+func replaceFile(path string, v any) error {
+	data, err := json.Marshal(v)
 	if err != nil {
 		return errors.Wrap(err, "encode records")
 	}
-	tempPath := s.path + ".next"
+	tempPath := path + ".next"
 	f, err := os.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePermission)
 	if err != nil {
 		return errors.Wrap(err, "open records")
@@ -94,7 +98,7 @@
 	err = errors.CombineErrors(err, f.Sync())
 	err = errors.CombineErrors(err, f.Close())
 	if err == nil {
-		err = os.Rename(tempPath, s.path)
+		err = os.Rename(tempPath, path)
 	}
 	return errors.Wrap(err, "write records")
 }
@@ -113,7 +117,7 @@
 			continue
 		case <-c.recordsChanged:
 		}
-		if err := c.store.save(c.allRecords()); err != nil {
+		if err := c.saveRecords(); err != nil {
 			c.log.Warn().Str("event", "records_not_kept").Err(err).Send()
 		}
 		select {
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -64,6 +64,8 @@
 		if err = link.Decode(body, &h); err == nil {
 			c.recordHeartbeat(serverFromWire(h), time.Now().Add(-time.Duration(h.AgeMillis)*time.Millisecond))
 		}
+	case protocol.KindVersions:
+		err = c.receiveVersions(body)
 	default:
 		err = c.receiveFromEntry(in, kind, body)
 	}
@@ -234,12 +236,20 @@
 		return c.node.Handle(context.Background(), r), nil
 	case protocol.KindRecordsCall:
 		return c.allRecords(), nil
+	case protocol.KindVersions:
+		return c.allVersions(), nil
 	case protocol.KindZoneOrderCall:
 		var m protocol.ZoneOrder
 		if err := link.Decode(body, &m); err != nil {
 			return nil, err
 		}
 		return c.handleZoneOrder(m), nil
+	case protocol.KindRolloutOrderCall:
+		var m protocol.RolloutOrder
+		if err := link.Decode(body, &m); err != nil {
+			return nil, err
+		}
+		return c.handleRolloutOrder(m), nil
 	default:
 		return nil, errors.Newf("call kind %d is unknown", kind)
 	}
--- a/coordinator/zoneorder_test.go
+++ b/coordinator/zoneorder_test.go
@@ -185,9 +185,9 @@
 	c.eventually("a host leads", func() bool { return c.leader() != nil })
 	l := c.leader()
 	before := l.c.node.Status().AppliedIndex
-	l.zoneOrders <- struct{}{}
-	l.zoneOrderPending = true
-	<-l.zoneOrders
+	l.orders <- struct{}{}
+	l.orderPending = true
+	<-l.orders
 	c.orderNow(1, false)
 	c.expectOut(false)
 	if got := l.c.node.Status().AppliedIndex; got < before+2 {
--- a/declare/machine.go
+++ b/declare/machine.go
@@ -44,9 +44,9 @@
 	MoveRollout  *RolloutMove  `json:"move_rollout,omitempty"`
 }
 
-// ErrOutdatedOrder means that another order on the zone was accepted after the position that
-// an order names.
-var ErrOutdatedOrder = errors.New("another order on the zone was accepted meanwhile")
+// ErrOutdatedOrder means that another order on the same zone or service was accepted after the
+// position that an order names.
+var ErrOutdatedOrder = errors.New("another order on the same subject was accepted meanwhile")
 
 // ZoneOrder is an operator's order on an availability zone.
 type ZoneOrder struct {
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -63,10 +63,12 @@
 	// KindDetailedAsk is an ask with what the broker needs to know about the request's route
 	// and client account.
 	KindDetailedAsk
-	// KindVersions tells other control hosts the software versions of backend servers.
+	// KindVersions tells other control hosts the software versions of backend servers. As a call
+	// it returns all that the receiver knows. Control hosts that don't know it ignore or reject it.
 	KindVersions
 	// KindRollouts tells entries the roll-outs in progress and the servers that they may use
-	// with a grant only.
+	// with a grant only or not at all. Entries confirm it by the same kind. Entries that don't
+	// know it ignore it.
 	KindRollouts
 	// KindResult tells the broker how a request of a service with a roll-out ended.
 	KindResult
@@ -244,6 +246,41 @@
 	Servers []uint32
 }
 
+// Rollouts tells an entry what it may send to servers of services with a roll-out. It replaces
+// the message before, and comes ahead of the views with the servers that it concerns.
+type Rollouts struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Sequence numbers the messages of a term.
+	Sequence uint64
+	// Services are the services with a roll-out in progress, whose results the entry reports.
+	Services []ServiceRollout
+	// GrantOnly are the numbers of the servers that may be used with a grant only, and Excluded
+	// those that may not be used at all.
+	GrantOnly, Excluded []uint32
+}
+
+// ServiceRollout is a roll-out in progress.
+type ServiceRollout struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Service is the name of the service.
+	Service string
+	// Position identifies the roll-out, and Stage is the stage that it has reached.
+	Position uint64
+	Stage    string
+}
+
+// RolloutsConfirmation says that an entry keeps to a [Rollouts] message.
+type RolloutsConfirmation struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Sequence is that of the message.
+	Sequence uint64
+	// Running counts the entry's requests that still run on excluded servers.
+	Running int
+}
+
 // Heartbeat forwards a backend server's heartbeat between control hosts.
 type Heartbeat struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
@@ -260,6 +297,17 @@
 	AgeMillis int
 }
 
+// ServerVersion is the version of the software of one start of a backend server.
+type ServerVersion struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// ID and Started identify the start as in its heartbeats.
+	ID      string
+	Started int64
+	// Version is the version of its software.
+	Version string
+}
+
 // CompactReplicationMessage is a message of the replicated log that carries no
 // log entries and no snapshot.
 type CompactReplicationMessage struct {
@@ -287,27 +335,46 @@
 	Position uint64
 }
 
-// ZoneOrderOutcome is the outcome of a [ZoneOrder].
-type ZoneOrderOutcome uint8
+// RolloutOrder is the parameter of [KindRolloutOrderCall].
+type RolloutOrder struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Service is the name of the service, and TargetVersion the version that it is moved to.
+	Service, TargetVersion string
+	// DurationMillis is the time within which the operator wants it done, in milliseconds.
+	DurationMillis int64
+	// Position is the position of the replicated log that the operator received before it
+	// sent the order.
+	Position uint64
+}
+
+// OrderOutcome is the outcome of an operator's order.
+type OrderOutcome uint8
 
 // The outcomes of orders.
 const (
-	// ZoneOrderFailed means that the order may or may not be executed.
-	ZoneOrderFailed ZoneOrderOutcome = iota
-	// ZoneOrderExecuted means that the order is committed.
-	ZoneOrderExecuted
-	// ZoneOrderOutdated means that another order on the zone stands behind the position, so
-	// that this one is not executed.
-	ZoneOrderOutdated
-	// ZoneOrderNotLeading means that the host doesn't lead and has not executed the order.
-	ZoneOrderNotLeading
+	// OrderFailed means that the order may or may not be executed.
+	OrderFailed OrderOutcome = iota
+	// OrderExecuted means that the order is committed, or that what it asks for is already.
+	OrderExecuted
+	// OrderOutdated means that another order on the same subject stands behind the position,
+	// so that this one is not executed.
+	OrderOutdated
+	// OrderNotLeading means that the host doesn't lead and has not executed the order.
+	OrderNotLeading
+	// OrderInProgress means that another order on the same subject is still in progress.
+	OrderInProgress
+	// OrderUnknownSubject means that the configuration doesn't have the subject.
+	OrderUnknownSubject
+	// OrderInvalid means that the order can't be executed as it stands.
+	OrderInvalid
 )
 
-// ZoneOrderResult is the result of [KindZoneOrderCall].
-type ZoneOrderResult struct {
+// OrderResult is the result of [KindZoneOrderCall] and [KindRolloutOrderCall].
+type OrderResult struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
-	Outcome ZoneOrderOutcome
+	Outcome OrderOutcome
 	// Message tells why the order has failed.
 	Message string
 }
--- a/registry/check.go
+++ b/registry/check.go
@@ -21,14 +21,16 @@
 // Check returns an error that names the first invalid field, or nil. Every record is checked
 // before it is used or passed on, wherever it comes from.
 func (b BackendServer) Check() error {
+	for _, name := range []struct {
+		field, text string
+		least       int
+	}{{"identifier", b.ID, 1}, {"service", b.Service, 1}, {"zone", b.AvailabilityZone, 1}, {"version", b.Version, 0}} {
+		if len(name.text) < name.least || len(name.text) > maxNameBytes {
+			return errors.Newf("the %s has %d bytes, allowed are %d to %d", name.field, len(name.text), name.least, maxNameBytes)
+		}
+	}
 	address, err := netip.ParseAddrPort(b.Address)
 	switch {
-	case b.ID == "" || len(b.ID) > maxNameBytes:
-		return errors.Newf("the identifier has %d bytes, allowed are 1 to %d", len(b.ID), maxNameBytes)
-	case b.Service == "" || len(b.Service) > maxNameBytes:
-		return errors.Newf("the service has %d bytes, allowed are 1 to %d", len(b.Service), maxNameBytes)
-	case b.AvailabilityZone == "" || len(b.AvailabilityZone) > maxNameBytes:
-		return errors.Newf("the zone has %d bytes, allowed are 1 to %d", len(b.AvailabilityZone), maxNameBytes)
 	case err != nil:
 		return errors.Wrap(err, "address")
 	case address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,7 +2,8 @@
 // heartbeats. It decides which of two records is newer and does no I/O.
 //
 // Invariants: an address belongs to at most one record; a record is never replaced
-// by one of an older start, nor by an older heartbeat of the same start.
+// by one of an older start, nor by an older heartbeat of the same start; the version of a
+// start, once it is known, stays known.
 package registry
 
 import (
@@ -85,6 +86,9 @@
 	if t.byID[b.ID] == nil && len(t.byID) >= maxRecords {
 		return Stale, nil
 	}
+	if known := t.byID[b.ID]; known != nil && known.Started == b.Started && b.Version == "" {
+		b.Version = known.Version
+	}
 	r := &Record{BackendServer: b, LastHeartbeat: now, ColdUntil: now.Add(b.ColdRemaining), Unconfirmed: b.Sequence == 0}
 	current := t.byID[b.ID]
 	if current != nil && differsInTimesOnly(current.BackendServer, b) {
@@ -133,6 +137,17 @@
 	}
 }
 
+// SetVersion sets the version of the record of a start that has none, and returns the record;
+// nil if there is none to change.
+func (t *Table) SetVersion(id string, started int64, version string) *Record {
+	r := t.byID[id]
+	if r == nil || r.Started != started || r.Version != "" || version == "" {
+		return nil
+	}
+	r.Version = version
+	return r
+}
+
 // Expire deletes the records whose last heartbeat is older than maxAge.
 func (t *Table) Expire(now time.Time, maxAge time.Duration) {
 	for id, r := range t.byID {
