Know client accounts on the users' platform

Nothing in the data path knew the keys, names, priorities and home regions of client accounts: the key itself went to servers, which learned no account, requests with unknown keys ran, and the home regions of accounts bound nothing.

Package account looks keys up by keyed digests; the entry replaces the key by the account's name after hop-by-hop fields are removed, and changes its copy of the route before anything reads it, so that rank and home regions bind on all ways. Keys are checked again right before the first byte. A relay receives the name. Common home regions are calculated by one function for both interfaces. Requests with unknown keys get 401 from entries that hear from a broker, else 503. The account's priority goes before the route's: ranks of asks are the account's priority times 1024 plus the route's where there are accounts.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -68,6 +68,8 @@
 	// DialContext, if set, ends the opening of a new connection when it ends, but no
 	// exchange that has begun.
 	DialContext context.Context
+	// ClientAccount is the name of the caller's client account; empty if there is none.
+	ClientAccount string
 	// ExpectServer identifies the only server that may run the request; empty for
 	// any.
 	ExpectServer string
@@ -156,6 +158,9 @@
 	if d.ExpectServer != "" && a.ExpectServer != "" {
 		header.Set(d.ExpectServer, a.ExpectServer)
 	}
+	if a.ClientAccount != "" && d.ClientAccount != "" {
+		header.Set(d.ClientAccount, a.ClientAccount)
+	}
 	if header.Get("User-Agent") == "" {
 		header["User-Agent"] = nil
 	}
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -24,6 +24,10 @@
 	// ExpectServer is the header that carries the identifier of the only server
 	// that may run the request; empty if the interface has no such header.
 	ExpectServer string
+	// Key is the header that carries the key of a caller's client account behind KeyScheme, and
+	// ClientAccount the one that tells a server the account's name; empty if the interface has
+	// no accounts.
+	Key, KeyScheme, ClientAccount string
 	// KeepHost passes the caller's Host header on.
 	KeepHost bool
 	// NotRun reports whether a response proves that the server did not run the
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,7 +105,8 @@
 	attempt := &backend.Attempt{
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
-		RequestID: k.id, Deadline: k.deadline, TransferLimit: k.transferLimit(), MayStart: func() bool { return g.maySend(a) },
+		RequestID: k.id, Deadline: k.deadline, TransferLimit: k.transferLimit(), MayStart: func() bool { return g.maySend(a) && g.checkAccount(k) == nil },
+		ClientAccount: k.accountName(),
 	}
 	if a.relay != "" {
 		return g.exchangeByRelay(ctx, a, attempt)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -55,6 +55,12 @@
 	var avoid []uint32
 	var h attemptHistory
 	for {
+		if err := g.checkAccount(k); err != nil {
+			if h.mayHaveRun() {
+				return h.result(ctx, nil, nil)
+			}
+			return response{retryAfter: defaultRetryAfter}, err
+		}
 		a, refusal, err := g.nextAttempt(ctx, k, avoid)
 		if err != nil || a == nil {
 			return h.result(ctx, refusal, err)
@@ -190,7 +196,9 @@
 
 // askDetails returns what the deployment's configuration makes the broker need to know about a
 // request; empty if it is nothing.
-func (g *Gateway) askDetails(*callerRequest) broker.Details { return broker.Details{} }
+func (g *Gateway) askDetails(k *callerRequest) broker.Details {
+	return broker.Details{ClientAccount: k.accountName()}
+}
 
 // mayUse reports whether this entry may use a grant: not to send a request itself while its path
 // to the servers is lost, or to a server that wants none or that the broker has removed since.
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"tanagerbarrow/account"
 	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/route"
@@ -37,12 +38,19 @@
 
 // callerRequest is the state of one request of a caller.
 type callerRequest struct {
-	id      string
-	route   *route.Route
-	version uint64
-	service string
-	request *http.Request
-	body    *bodybuf.Buffer
+	id string
+	// route is the request's route as it holds for the caller's client account.
+	route *route.Route
+	// account is the caller's client account, or nil, and key the digest of the key that it
+	// presented.
+	account *account.Account
+	key     account.Digest
+	// relayedAccount is the name of the client account of a request that another entry relays.
+	relayedAccount string
+	version        uint64
+	service        string
+	request        *http.Request
+	body           *bodybuf.Buffer
 	// held are the bodies whose memory is released at the end of the request: its
 	// own and those of its responses.
 	held    []*bodybuf.Buffer
@@ -123,6 +131,9 @@
 	if k.route == nil {
 		return verdict.New(verdict.NotRun, http.StatusNotFound, "no_route", "no route for the host and path")
 	}
+	if err := g.identify(k, index); err != nil {
+		return err
+	}
 	k.service = k.route.Choose(g.random())
 	k.callerTimeout = k.route.Timeout
 	if timeoutText := k.request.Header.Get(g.options.Dialect.Timeout); timeoutText != "" {
@@ -139,7 +150,7 @@
 func statusOf(e *verdict.Error) int {
 	switch e.Status {
 	case http.StatusNotFound, http.StatusBadRequest, http.StatusRequestEntityTooLarge,
-		http.StatusRequestHeaderFieldsTooLarge:
+		http.StatusRequestHeaderFieldsTooLarge, http.StatusUnauthorized:
 		return e.Status
 	}
 	if e.Verdict == verdict.NotRun {
@@ -156,6 +167,9 @@
 	e := verdict.As(err)
 	status := statusOf(e)
 	g.recordRequest(k, status, e)
+	if status == http.StatusUnauthorized {
+		c.Response().Header().Set("WWW-Authenticate", g.options.Dialect.KeyScheme)
+	}
 	if status == http.StatusServiceUnavailable {
 		if retryAfter <= 0 {
 			retryAfter = defaultRetryAfter
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,6 +47,7 @@
 func testDialect() backend.Dialect {
 	return backend.Dialect{
 		RequestID: idHeader, EchoesRequestID: true, Timeout: timeHeader, ExpectServer: expectHeader, KeepHost: true,
+		Key: "Authorization", KeyScheme: "Bearer", ClientAccount: accountHeader,
 		NotRun: func(r *http.Response) bool { return r.Header.Get(notRunHeader) != "" },
 		Report: func(h http.Header) backend.Report {
 			pace, _ := strconv.Atoi(h.Get(paceHeader))
@@ -129,9 +130,7 @@
 		f.subscriptions = append(f.subscriptions, s)
 		_ = conn.Send(protocol.KindWelcome, protocol.Welcome{Term: 1})
 		_ = conn.Send(protocol.KindView, protocol.View{Full: true, Servers: f.servers})
-		content, _ := json.Marshal(f.config)
-		d, _ := declare.NewDocument(f.config.Version, content)
-		_ = conn.Send(protocol.KindDocument, protocol.Document{Version: d.Version, Packed: d.Packed})
+		_ = conn.Send(protocol.KindDocument, f.document())
 	case protocol.KindAsk:
 		var a broker.Ask
 		_ = link.Decode(body, &a)
@@ -165,6 +164,13 @@
 	}
 }
 
+// document returns the configuration as it is sent. The caller holds the lock.
+func (f *fakeBroker) document() protocol.Document {
+	content, _ := json.Marshal(f.config)
+	d, _ := declare.NewDocument(f.config.Version, content)
+	return protocol.Document{Version: d.Version, Packed: d.Packed}
+}
+
 // received waits until the broker has received n messages of a kind that count counts, at most 2 s.
 func (f *fakeBroker) received(n int, count func() int) {
 	for range 200 {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -54,6 +54,9 @@
 	if err == nil {
 		err = k.readRelayed(g, a)
 	}
+	if err == nil {
+		err = g.identifyRelayed(k)
+	}
 	var res response
 	if err == nil {
 		res, err = g.sendRelayed(k, a)
@@ -116,6 +119,7 @@
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
 		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, MayStart: func() bool { return g.maySend(a) }, DialContext: usable,
+		ClientAccount: k.relayedAccount,
 	})
 	res := response{}
 	status, report := g.readReport(httpResponse, err)
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -207,6 +207,13 @@
 	return conn.Send(protocol.KindAsk, ask)
 }
 
+// inTouch reports whether a broker is connected that replies.
+func (s *session) inTouch() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn != nil && s.suspectSince.IsZero()
+}
+
 // markReceived records that the broker sent a message.
 func (s *session) markReceived() {
 	s.mu.Lock()
--- a/route/table.go
+++ b/route/table.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"tanagerbarrow/account"
 )
 
 // Kind says whether a request may run more than once.
@@ -65,8 +67,33 @@
 	// HomeRegions are the only regions that may serve the request; empty means
 	// any.
 	HomeRegions []string
+	// Public says that callers need no client account.
+	Public bool
 }
 
+// accountRankStep is the distance of the ranks of two priorities of client accounts: more than
+// there are priorities of routes.
+const accountRankStep = 1 << 10
+
+// WithAccount returns the route as it holds for a request of a client account, nil for none, in a
+// configuration with accounts: the account's priority goes before the route's, and the home
+// regions of both bind. A priority that the account doesn't declare is the route's.
+func (r *Route) WithAccount(a *account.Account) *Route {
+	out := *r
+	first := r.Priority
+	if a != nil {
+		out.HomeRegions = account.CommonRegions(a.HomeRegions, r.HomeRegions)
+		if a.Priority != nil {
+			first = *a.Priority
+		}
+	}
+	out.Priority = first*accountRankStep + min(max(r.Priority, 0), accountRankStep-1)
+	return &out
+}
+
+// Servable reports whether any region may serve the route's requests.
+func (r *Route) Servable() bool { return !slices.Contains(r.HomeRegions, account.NoRegion) }
+
 // AllowedIn reports whether a request of the route may be served in the region.
 func (r *Route) AllowedIn(region string) bool {
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
@@ -105,6 +132,9 @@
 	// Routes and Services are the declared routes and services.
 	Routes   []Route
 	Services []Service
+	// ClientAccounts are the accounts of callers; if there are any, requests need the key of one
+	// unless their route is public.
+	ClientAccounts []account.Account
 	// Limits bound the requests and connections of each caller.
 	Limits CallerLimits
 }
@@ -134,7 +164,7 @@
 		}
 		routeNames[location] = r.Name
 	}
-	return nil
+	return account.Check(c.ClientAccounts)
 }
 
 // check returns an error that names the first rule that the route breaks. The
@@ -171,11 +201,12 @@
 	config   *Configuration
 	hosts    map[string][]*Route
 	services map[string]*Service
+	accounts *account.Index
 }
 
 // NewIndex indexes a configuration, which must not change afterwards.
 func NewIndex(c *Configuration) *Index {
-	x := &Index{config: c, hosts: map[string][]*Route{}, services: map[string]*Service{}}
+	x := &Index{config: c, hosts: map[string][]*Route{}, services: map[string]*Service{}, accounts: account.NewIndex(c.ClientAccounts)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		x.hosts[r.Host] = append(x.hosts[r.Host], r)
@@ -195,6 +226,9 @@
 // Service returns a service, or nil.
 func (x *Index) Service(name string) *Service { return x.services[name] }
 
+// Accounts returns the client accounts.
+func (x *Index) Accounts() *account.Index { return x.accounts }
+
 // Find returns the route with the longest prefix of the path, or nil. Prefixes end
 // with a slash, so Find makes one look-up for each slash of the path.
 func (x *Index) Find(host, path string) *Route {
--- a/state/configuration.go
+++ b/state/configuration.go
@@ -3,12 +3,13 @@
 import (
 	"encoding/json"
 	"maps"
-	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	accounts "tanagerbarrow/account"
 )
 
 // Configuration is one numbered version of the settings that operators have
@@ -59,29 +60,12 @@
 // pinned, the result is the intersection of their regions, or [NoRegion] if that
 // is empty.
 func (c *Configuration) HomeRegions(account, path string) []string {
-	byAccount := c.AccountHomes[account]
-	byRoute := c.routeHome(path)
-	if len(byAccount) == 0 {
-		return byRoute
-	}
-	if len(byRoute) == 0 {
-		return byAccount
-	}
-	var both []string
-	for _, region := range byAccount {
-		if slices.Contains(byRoute, region) {
-			both = append(both, region)
-		}
-	}
-	if len(both) == 0 {
-		return []string{NoRegion}
-	}
-	return both
+	return accounts.CommonRegions(c.AccountHomes[account], c.routeHome(path))
 }
 
 // NoRegion is the home region of a request whose client account and route are
 // pinned to disjoint regions. It contains no availability zone.
-const NoRegion = "none"
+const NoRegion = accounts.NoRegion
 
 // routeHome returns the home regions of the longest pinned prefix of path.
 func (c *Configuration) routeHome(path string) []string {
