Drive roll-outs from the leader and keep entries to them

The broker decides the stages of a roll-out; nothing proposed them, and entries without a broker would have chosen servers of a version that is on trial.

The leader proposes the moves that are due in its own term, and tells entries, ahead of the views, which servers they may use with a grant only or not at all. Entries leave them out, give back grants for excluded ones, report how requests of a service with a roll-out end, and confirm that nothing of theirs runs on excluded servers; a roll-out is completed once all entries in touch have, or shortly before it is due. The time that a roll-out has taken counts from the first sight of it by the clock that nobody sets.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -89,6 +89,10 @@
 	// the leader.
 	lastForwarded map[string]time.Time
 	versions      versionTable
+	// rolloutClocks holds, by position, when this host has first seen a roll-out, and
+	// acceptedRollouts, by service, the last order that a leader of this host has proposed.
+	rolloutClocks    map[uint64]rolloutClock
+	acceptedRollouts map[string]acceptedRollout
 
 	// recordsChanged wakes saveChangedRecords.
 	recordsChanged chan struct{}
@@ -107,7 +111,7 @@
 	}
 	c := &Coordinator{
 		options: o, log: o.Log, recordLog: telemetry.NewRateLimitedLogger(o.Log, "records", maxRecordLinesPerSecond), machine: declare.NewMachine(), records: registry.NewTable(),
-		inbound: map[*inboundLink]bool{}, lastForwarded: map[string]time.Time{}, recordsChanged: make(chan struct{}, 1),
+		inbound: map[*inboundLink]bool{}, lastForwarded: map[string]time.Time{}, acceptedRollouts: map[string]acceptedRollout{}, recordsChanged: make(chan struct{}, 1),
 		self: protocol.ControlHost{
 			Name: s.Host.Name, PeerAddress: netip.AddrPortFrom(s.Host.Address, s.PeerPort).String(),
 			ControlAddress: s.ControlAddress.String(), AvailabilityZone: s.Host.AvailabilityZone,
@@ -170,7 +174,8 @@
 // host leads.
 func (c *Coordinator) watchState(ctx context.Context) {
 	for {
-		_, changed := c.machine.State()
+		state, changed := c.machine.State()
+		c.noteRollouts(state)
 		if l := c.leading(); l != nil {
 			l.postUrgent(l.applyState)
 		}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -13,7 +13,7 @@
 	"tanagerbarrow/declare"
 	"tanagerbarrow/link"
 	"tanagerbarrow/protocol"
-	"tanagerbarrow/registry"
+	"tanagerbarrow/rollout"
 	"tanagerbarrow/route"
 	"tanagerbarrow/telemetry"
 )
@@ -61,7 +61,7 @@
 )
 
 // capabilities are the further messages that this build's broker handles.
-var capabilities = protocol.Capabilities{DetailedAsks: true}
+var capabilities = protocol.Capabilities{DetailedAsks: true, Results: true}
 
 // leader runs the broker of one term in a single goroutine.
 type leader struct {
@@ -104,6 +104,7 @@
 	// the outcome of an earlier one is unknown; it is accessed by the holder.
 	orders       chan struct{}
 	orderPending bool
+	rollouts     rolloutDriver
 	// sessionsAdded is whether sessions were added since the last distribution.
 	sessionsAdded bool
 }
@@ -123,7 +124,9 @@
 			RetryWindow: b.RetryWindow, SilenceTimeout: maxLostHeartbeats * c.options.Settings.HeartbeatInterval, Random: rand.New(rand.NewPCG(rand.Uint64(), term)),
 			GrantIDBase: term * grantsPerTerm, ColdGrantsFrom: time.Now().Add(coldGrantDelay),
 			ServersKnownFrom: time.Now().Add(serverDiscoveryDuration),
+			Exposure:         rollout.Bounds{Share: b.ExposureShare, Slack: b.ExposureSlack},
 		}),
+		rollouts: newRolloutDriver(time.Now()),
 	}
 	l.leaseEnd.Store(int64(leaseEnd))
 	return l
@@ -182,6 +185,7 @@
 // tick does the periodic work that is due.
 func (l *leader) tick(now time.Time) {
 	l.broker.Tick(now)
+	l.driveRollouts(now)
 	l.logEjections()
 	if l.state.Document.Version > l.sentDocument.Version && now.Sub(l.documentSentAt) >= documentInterval {
 		l.broadcastDocument(now)
@@ -256,6 +260,7 @@
 	l.broker.SetRelayAddress(name, s.RelayAddress)
 	l.setPath(name, s.Path, now)
 	delete(l.sentRelays, name)
+	l.forgetRolloutSession(name, false, now)
 	l.log.Info().Str("event", "entry_connected").Str("entry", name).Int("held", len(s.Held)).
 		Uint64("config_version", s.Version).Send()
 	_ = in.conn.Send(protocol.KindWelcome, protocol.Welcome{Term: l.term})
@@ -279,6 +284,7 @@
 	delete(l.views, name)
 	delete(l.assignedChecks, name)
 	delete(l.sentRelays, name)
+	l.forgetRolloutSession(name, true, now)
 	l.broker.Disconnect(name, now)
 	l.log.Warn().Str("event", "entry_lost").Str("entry", name).AnErr("reason", in.conn.Err()).Send()
 }
@@ -323,7 +329,9 @@
 		l.log.Info().Str("event", "configuration_applied").Uint64("version", config.Version).Send()
 	}
 	before := l.zonesOut()
+	l.applyRollouts(state, now)
 	l.state = state
+	l.refreshRollouts()
 	l.broker.Configure(l.index, state.ZonesOut, now)
 	var gone []uint32
 	for _, s := range l.broker.Servers() {
@@ -360,37 +368,3 @@
 		l.sendChanges(nil, gone, false, now)
 	}
 }
-
-// announceOwnRecords passes the records that this host holds to the broker.
-func (l *leader) announceOwnRecords(now time.Time) {
-	l.c.mu.Lock()
-	records := l.c.records.All()
-	copies := make([]registry.Record, 0, len(records))
-	for _, r := range records {
-		copies = append(copies, *r)
-	}
-	l.c.mu.Unlock()
-	for _, r := range copies {
-		l.announce(r, registry.Changed, nil, now)
-	}
-}
-
-// announce passes a record to the broker and sends the change to the entries.
-func (l *leader) announce(r registry.Record, o registry.Outcome, replaced *registry.Record, now time.Time) {
-	if l.c.isDeregistered(r.ID, r.Started) || l.broker.HasLeft(r.ID, r.Started) {
-		return
-	}
-	var gone []uint32
-	if replaced != nil {
-		if s := l.broker.RemoveServer(replaced.ID); s != nil {
-			gone = append(gone, s.Number)
-		}
-	}
-	if o == registry.Refreshed && l.broker.RefreshServer(r) {
-		return
-	}
-	s := l.broker.Announce(r, now)
-	l.log.Info().Str("event", "server_announced").Str("server", r.ID).Int64("started", r.Started).
-		Str("service", r.Service).Str("address", r.Address).Bool("cold", now.Before(r.ColdUntil)).Send()
-	l.sendChanges([]*broker.Server{s}, gone, false, now)
-}
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -74,3 +74,24 @@
 		return "failed"
 	}
 }
+
+// countRolloutStage counts a stage that a service's roll-out has reached.
+func (m *hostMetrics) countRolloutStage(service string, stage declare.RolloutStage) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_rollout_stages_total{service=%q,stage=%q}", service, stage)).Inc()
+}
+
+// countRolloutResult counts a request of a service with a roll-out in progress by the version of
+// its server and by its outcome.
+func (m *hostMetrics) countRolloutResult(service string, target bool, o broker.Outcome) {
+	version, result := "before", "other"
+	if target {
+		version = "target"
+	}
+	switch o {
+	case broker.Answered:
+		result = "answered"
+	case broker.Failed, broker.ConnectionLost, broker.Unreachable:
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_rollout_results_total{service=%q,version=%q,result=%q}", service, version, result)).Inc()
+}
--- a/coordinator/rolloutorder.go
+++ b/coordinator/rolloutorder.go
@@ -71,6 +71,9 @@
 			return nil, err
 		}
 		o.BeganAt = now.UnixMilli()
+		l.c.mu.Lock()
+		l.c.acceptedRollouts[o.Service] = acceptedRollout{l.term, o}
+		l.c.mu.Unlock()
 		return &declare.Command{StartRollout: &o}, nil
 	})
 }
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -198,6 +198,10 @@
 		return postMessage(l, body, func(m broker.Ask, now time.Time) { l.ask(name, m, now) })
 	case protocol.KindDetailedAsk:
 		return postMessage(l, body, func(m broker.DetailedAsk, now time.Time) { l.broker.AskInDetail(name, m, now) })
+	case protocol.KindResult:
+		return postMessage(l, body, func(m broker.Result, now time.Time) { l.result(name, m, now) })
+	case protocol.KindRollouts:
+		return postMessage(l, body, func(m protocol.RolloutsConfirmation, _ time.Time) { l.confirmRollouts(in, m) })
 	case protocol.KindRelease:
 		return postMessage(l, body, func(m broker.Release, now time.Time) { l.release(name, m, now) })
 	case protocol.KindCancel:
--- a/coordinator/views.go
+++ b/coordinator/views.go
@@ -80,6 +80,7 @@
 // sendChanges sends each entry the part of a change that concerns it. A change
 // of the zones or of the number of entries concerns all entries.
 func (l *leader) sendChanges(servers []*broker.Server, gone []uint32, toAll bool, now time.Time) {
+	l.refreshRollouts()
 	out := l.zonesOut()
 	for name, in := range l.sessions {
 		view := l.views[name].update(servers, gone, now)
@@ -87,7 +88,7 @@
 			continue
 		}
 		view.ZonesOut, view.Entries = out, len(l.sessions)
-		_ = in.conn.Send(protocol.KindView, view)
+		l.sendView(in, view)
 	}
 }
 
@@ -120,7 +121,7 @@
 	}
 	view := s.update(servers, nil, now)
 	view.Full, view.ZonesOut, view.Entries = true, l.zonesOut(), len(l.sessions)
-	_ = in.conn.Send(protocol.KindView, view)
+	l.sendView(in, view)
 }
 
 // sendGrantedServer sends an entry a server that it is granted and doesn't know.
@@ -130,7 +131,7 @@
 		return
 	}
 	s.add(server)
-	_ = in.conn.Send(protocol.KindView, protocol.View{
+	l.sendView(in, protocol.View{
 		Servers: []protocol.Server{serverToWire(server, now)}, ZonesOut: l.zonesOut(), Entries: len(l.sessions),
 	})
 }
--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -205,7 +205,7 @@
 // caller holds the lock.
 func (v *view) allowed(s *server, service string, r *route.Route, avoid []uint32, now time.Time) bool {
 	return s.Service == service && r.AllowedIn(s.region) && !v.isZoneOut(s.AvailabilityZone) &&
-		!now.Before(s.coldUntil) && !slices.Contains(avoid, s.Number) && !v.departures.leaving(s.ID, v.serversTerm, now)
+		!now.Before(s.coldUntil) && !slices.Contains(avoid, s.Number) && v.versionAllows(s, false) && !v.departures.leaving(s.ID, v.serversTerm, now)
 }
 
 // startRequest counts a request that starts on a server.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,6 +24,10 @@
 	// relay is the address of the entry that must relay the request; empty if this entry
 	// sends it itself.
 	relay string
+	// relayedGrant says that the entry whose request this one relays has the broker's grant.
+	relayedGrant bool
+	// cold says that the server was cold when the attempt began.
+	cold bool
 	// startBy is when the attempt must begin, in [boottime.Now]; 0 for any time.
 	startBy time.Duration
 }
@@ -33,14 +37,15 @@
 
 // maySend reports whether this entry may begin to send an attempt, itself or to a relay.
 func (g *Gateway) maySend(a *attempt) bool {
-	return a.mayStart() && g.view.acceptsRequests(a.server, a.relay != "")
+	return a.mayStart() && g.view.acceptsRequests(a.server, a.relay != "") &&
+		g.view.rolloutAllows(a.server, a.grantID != 0 || a.relayedGrant)
 }
 
 // sendAttempt sends the request to one server, reads its complete response and
 // releases the grant.
 func (g *Gateway) sendAttempt(ctx context.Context, k *callerRequest, a *attempt) (response, error) {
 	started := time.Now()
-	k.lastServerID, k.lastRelay = a.server.ID, a.relay
+	k.lastServerID, k.lastRelay, a.cold = a.server.ID, a.relay, g.view.isCold(a.server, started)
 	attemptCtx, end := g.attemptContext(ctx, k, a)
 	defer end()
 	if a.relay == "" {
@@ -201,6 +206,8 @@
 		outcome = broker.PathLost
 	}
 	g.view.finishRequest(a.server, blamesServer(outcome), time.Now())
+	g.session.confirmRollouts()
+	g.reportResult(k, a, report, outcome, res, err, took)
 	g.logFailedAttempt(k, a, outcome, err, took)
 	if a.grantID == 0 {
 		return
--- a/gateway/backoff.go
+++ b/gateway/backoff.go
@@ -113,13 +113,13 @@
 }
 
 // notAccepting returns the numbers of the servers of a service that want no requests of this entry
-// now.
+// now, or that a roll-out has excluded.
 func (v *view) notAccepting(service string, now time.Time) []uint32 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var numbers []uint32
 	for _, s := range v.servers {
-		if s.Service == service && !v.accepts(s, false, now) {
+		if s.Service == service && (!v.accepts(s, false, now) || !v.versionAllows(s, true)) {
 			numbers = append(numbers, s.Number)
 		}
 	}
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -71,6 +71,8 @@
 		}
 	case protocol.KindView:
 		err = c.handleView(body)
+	case protocol.KindRollouts:
+		err = c.handleRollouts(body)
 	case protocol.KindRelays:
 		var relays []protocol.Relay
 		if err = link.Decode(body, &relays); err == nil {
@@ -171,6 +173,7 @@
 			c.session.reportLeaving(id, d)
 		}
 		c.session.onView()
+		c.session.confirmRollouts()
 	}
 	return nil
 }
@@ -186,7 +189,9 @@
 		return errors.Newf("the broker's term %d is older than the current term", w.Term)
 	}
 	c.stopHandshakeTimer()
-	if before := c.session.use(c.conn); before != nil {
+	before := c.session.use(c.conn)
+	c.session.view.beginRollouts()
+	if before != nil {
 		before.Close()
 	}
 	c.session.useDirectory(c.directory)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -197,7 +197,11 @@
 // askDetails returns what the deployment's configuration makes the broker need to know about a
 // request; empty if it is nothing.
 func (g *Gateway) askDetails(k *callerRequest) broker.Details {
-	return broker.Details{ClientAccount: k.accountName()}
+	d := broker.Details{ClientAccount: k.accountName()}
+	if g.view.rollsOut(k.service) {
+		d.Route = k.route.Name
+	}
+	return d
 }
 
 // mayUse reports whether this entry may use a grant: not to send a request itself while its path
@@ -205,7 +209,7 @@
 func (g *Gateway) mayUse(grant *broker.Grant) bool {
 	relayed := grant.Relay != ""
 	s := g.view.server(grant.Server)
-	return (relayed || !g.path.lost()) && s != nil && g.view.acceptsRequests(s, relayed)
+	return (relayed || !g.path.lost()) && s != nil && g.view.acceptsRequests(s, relayed) && g.view.rolloutAllows(s, true)
 }
 
 // chooseAlone chooses a server without a broker and, if this entry reaches no server, an
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -30,6 +30,8 @@
 	// headerRelayStart is the time in milliseconds within which the request must be sent
 	// to the server.
 	headerRelayStart = "Tanagerbarrow-Relay-Start"
+	// headerRelayGrant says that the broker has granted the server for the request.
+	headerRelayGrant = "Tanagerbarrow-Relay-Grant"
 	// headerRelayResult is in each response of a relay: the verdict and, unless the
 	// response is the server's, the code of the error. A response without it comes from
 	// neither.
@@ -82,6 +84,9 @@
 	attempt.Header.Set(headerRelayServer, a.server.ID)
 	attempt.Header.Set(headerRelayAddress, a.server.Address)
 	attempt.Header.Set(headerRelayStart, strconv.FormatInt(start.Milliseconds(), 10))
+	if a.grantID != 0 {
+		attempt.Header.Set(headerRelayGrant, "1")
+	}
 	attempt.BeforeBodyEnd, attempt.ExpectServer = nil, ""
 	res, err := g.relayExchanger.Exchange(ctx, &membership.BackendServer{Service: a.server.Service, Address: address}, attempt)
 	if err != nil {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -82,8 +82,9 @@
 // send for its own callers, or if it has no path to the servers itself.
 func (g *Gateway) relayedAttempt(r *http.Request) (*attempt, error) {
 	startMillis, err := strconv.ParseInt(r.Header.Get(headerRelayStart), 10, 64)
+	granted := r.Header.Get(headerRelayGrant) != ""
 	id, address := r.Header.Get(headerRelayServer), r.Header.Get(headerRelayAddress)
-	for _, name := range []string{headerRelayServer, headerRelayAddress, headerRelayStart, headerRelayResult} {
+	for _, name := range []string{headerRelayServer, headerRelayAddress, headerRelayStart, headerRelayGrant, headerRelayResult} {
 		r.Header.Del(name)
 	}
 	if err != nil {
@@ -96,7 +97,7 @@
 	if s == nil {
 		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRelayFailed, "backend server %q at %q is not in use", id, address)
 	}
-	return &attempt{server: s, startBy: boottime.Now() + time.Duration(startMillis)*time.Millisecond}, nil
+	return &attempt{server: s, relayedGrant: granted, startBy: boottime.Now() + time.Duration(startMillis)*time.Millisecond}, nil
 }
 
 // readRelayed reads the deadline and the body of a relayed request.
@@ -132,6 +133,7 @@
 	limit := g.view.limitReport(a.server, report, broker.LimitFromRequests, err == nil && res.status < http.StatusInternalServerError)
 	g.recordLimit(a.server, limit, broker.LimitFromRequests, time.Now())
 	g.view.finishRequest(a.server, blamesServer(outcomeOf(ctx, res, err)), time.Now())
+	g.session.confirmRollouts()
 	return res, err
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -58,13 +58,16 @@
 	relays []protocol.Relay
 	// backoffs are the servers that want nothing of this entry for a time.
 	backoffs backoffs
+	// rollouts are the rules about servers of services with a roll-out, and nextRollouts those of
+	// a session whose full view has not arrived yet; nil if there is none.
+	rollouts, nextRollouts *rolloutRules
 	// departures are the servers that have said that they leave.
 	departures departures
 }
 
 // newView returns a view without a configuration.
 func newView(decode func([]byte) (*route.Configuration, error), regions map[string]string) *view {
-	return &view{decode: decode, regions: regions, servers: map[uint32]*server{}, configured: make(chan struct{}), backoffs: backoffs{}, departures: departures{}}
+	return &view{decode: decode, regions: regions, servers: map[uint32]*server{}, configured: make(chan struct{}), backoffs: backoffs{}, departures: departures{}, rollouts: newRolloutRules()}
 }
 
 // configuration returns the configuration in force, or nil before the first.
@@ -161,6 +164,7 @@
 	previous := v.servers
 	if m.Full {
 		v.servers, v.serversTerm = map[uint32]*server{}, v.term
+		v.useNextRollouts()
 	}
 	for _, n := range m.Removed {
 		delete(v.servers, n)
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -246,18 +246,20 @@
 	Servers []uint32
 }
 
-// Rollouts tells an entry what it may send to servers of services with a roll-out. It replaces
-// the message before, and comes ahead of the views with the servers that it concerns.
+// Rollouts tells an entry what it may send to servers of services with a roll-out. It comes
+// ahead of the views with the servers that it concerns. An entry begins each session without
+// any; what a message doesn't name stays as it was.
 type Rollouts struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
-	// Sequence numbers the messages of a term.
+	// Sequence numbers the messages that the entry confirms, within a term; 0 for others.
 	Sequence uint64
-	// Services are the services with a roll-out in progress, whose results the entry reports.
+	// Services is the complete list of the services with a roll-out in progress, whose results
+	// the entry reports.
 	Services []ServiceRollout
-	// GrantOnly are the numbers of the servers that may be used with a grant only, and Excluded
-	// those that may not be used at all.
-	GrantOnly, Excluded []uint32
+	// GrantOnly are the numbers of servers that may be used with a grant only, Excluded of
+	// those that may not be used at all, and Free of those that may be used.
+	GrantOnly, Excluded, Free []uint32
 }
 
 // ServiceRollout is a roll-out in progress.
