Show what crowds of callers do to the processes of a deployment

While the crowd is there, the processes must live within their limits and serve an ordinary request. make test runs the package by itself, after the others.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: Apache-2.0
 
-PACKAGES = ./... ./bench/...
+# The tests of crowds run apart from all other load.
+CROWD = tanagerbarrow/bench/crowd
+PACKAGES = $(filter-out $(CROWD),$(shell go list ./... ./bench/...))
 
 .PHONY: build demo test lint
 
@@ -13,6 +15,11 @@
 
 test: ## Runs every test with the race detector.
 	go test -race -count=1 -timeout 8m $(TESTFLAGS) $(PACKAGES)
+	$(MAKE) crowd TESTFLAGS="$(TESTFLAGS)"
+
+.PHONY: crowd
+crowd: ## Runs the tests of callers that keep to no limit.
+	go test -count=1 -timeout 20m $(TESTFLAGS) $(CROWD)
 
 lint: bin/golangci-lint ## Checks format and style.
 	bin/golangci-lint fmt --diff ./... 
