Keep client accounts within their request limits

Nothing counted the requests of an account: its limit held nowhere.

The broker holds a token bucket for each limited account; a token is taken with the grant of a first attempt. Beyond it a caller gets 429 at once, with the time of its own token. What may exceed the limit in a window is divided into fixed parts: for the rhythm of arrivals, for a new broker, and for shares of entries without one, which go where an account's requests arrive and rest before they are handed out again. Nothing need be stored.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"tanagerbarrow/account"
 	"tanagerbarrow/registry"
 	"tanagerbarrow/rollout"
 	"tanagerbarrow/route"
@@ -22,6 +23,11 @@
 	// SilenceTimeout is the time without a heartbeat or a response after which a
 	// server is considered dead; 0 means [DefaultSilenceTimeout].
 	SilenceTimeout time.Duration
+	// AccountBounds say by how much client accounts may exceed their limits.
+	AccountBounds account.Bounds
+	// PredecessorIsNew says that the broker before this one may have begun within the last window of the
+	// accounts' limits.
+	PredecessorIsNew bool
 	// Random breaks ties between equal servers and spreads retry times.
 	Random *rand.Rand
 	// GrantIDBase is the number after which the identifiers of grants begin. It is
@@ -58,6 +64,8 @@
 	left map[serverStart]bool
 	// rollouts holds, by service, the roll-out in progress or else the last.
 	rollouts map[string]*serviceRollout
+	// accounts holds the meters of the client accounts with a limit, by name.
+	accounts map[string]*accountMeter
 
 	lastServerNumber uint32
 	lastGrantID      uint64
@@ -80,6 +88,8 @@
 	// response counts as slow already.
 	route   string
 	overdue bool
+	// meter is the one that has counted the request, or nil.
+	meter *accountMeter
 }
 
 // sender returns the entry that sends the request to the server.
@@ -121,6 +131,7 @@
 			b.markZoneCold(zone, now)
 		}
 	}
+	b.configureAccounts(x.Configuration().ClientAccounts, now)
 	b.index, b.zonesOut = x, zonesOut
 	b.serveQueues(now)
 }
@@ -250,6 +261,7 @@
 		return
 	}
 	e.disconnectedAt = now
+	b.loseShares(name, now)
 	for _, p := range b.pools {
 		p.removeAsks(e)
 	}
--- a/broker/learn.go
+++ b/broker/learn.go
@@ -39,6 +39,7 @@
 	}
 	delete(b.grants, r.ID)
 	b.freeSlot(g)
+	g.returnToken(r.Outcome, now)
 	s := g.server
 	if s.paceChangesAt.IsZero() {
 		b.recordPace(s, r.Pace, now)
--- a/broker/message.go
+++ b/broker/message.go
@@ -110,6 +110,8 @@
 	// ReasonBackoff means that all servers that may run the request want none of this entry
 	// for longer than the request may wait.
 	ReasonBackoff Reason = "backoff"
+	// ReasonAccountLimit means that the client account has used up its request limit.
+	ReasonAccountLimit Reason = "account_limit"
 )
 
 // Outcome says how a granted request ended.
--- a/broker/place.go
+++ b/broker/place.go
@@ -149,7 +149,7 @@
 // canRunNow reports whether a server may run a request, has a free slot for it, and
 // its limits allow it.
 func (b *Broker) canRunNow(s *Server, w *pendingAsk, now time.Time) bool {
-	if !b.eligible(s, w, now) || s.occupiedSlots(now) >= s.Record.Slots || !s.limitAllows(now) {
+	if !b.eligible(s, w, now) || s.occupiedSlots(now) >= s.Record.Slots || !s.limitAllows(now) || !w.accountAllows(now) {
 		return false
 	}
 	return !s.cold(now) || b.coldRateAllows(s, now)
@@ -275,6 +275,7 @@
 		grantedAt: now, expiresAt: now.Add(millis(w.ask.DeadlineMillis) + time.Second), relay: relay,
 		route: w.details.Route,
 	}
+	g.takeToken(w, now)
 	b.grants[g.id] = g
 	w.entry.grantIDs[g.seq] = g.id
 	s.activeGrants++
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -58,8 +58,10 @@
 
 // pendingAsk is an ask that has been neither granted nor refused.
 type pendingAsk struct {
-	ask       Ask
-	details   Details
+	ask     Ask
+	details Details
+	// meter keeps the client account within its limit; nil if nothing limits the request.
+	meter     *accountMeter
 	entry     *entry
 	arrivedAt time.Time
 	// waitUntil is the time at which the ask is refused.
@@ -135,11 +137,12 @@
 		return
 	}
 	w := newPendingAsk(p, e, d, now)
+	w.meter = b.meterOf(d)
 	if !b.canBeSent(w, now) {
 		b.refuse(p, e, a.Seq, ReasonNoRelay, now)
 		return
 	}
-	if b.refuseForBackoff(p, w, now) {
+	if b.refuseForAccount(p, w, now) || b.refuseForBackoff(p, w, now) {
 		return
 	}
 	if b.tryCanary(p, w, now) {
@@ -243,7 +246,7 @@
 		if len(candidates) > 0 && b.tryGrant(p, candidates, w, now) {
 			return true
 		}
-		if b.refuseForBackoff(p, w, now) {
+		if b.refuseForAccount(p, w, now) || b.refuseForBackoff(p, w, now) {
 			return true
 		}
 		if now.Before(w.waitUntil) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/boottime"
 	"tanagerbarrow/consensus"
 	"tanagerbarrow/consensus/wal"
 	"tanagerbarrow/declare"
@@ -80,6 +81,8 @@
 	mu      sync.Mutex
 	records *registry.Table
 	leader  *leader
+	// succession is used by the goroutine that maintains the lease.
+	succession succession
 	// inbound holds the connections that entries and other control hosts have
 	// opened to this host.
 	inbound map[*inboundLink]bool
@@ -117,6 +120,7 @@
 			ControlAddress: s.ControlAddress.String(), AvailabilityZone: s.Host.AvailabilityZone,
 		},
 	}
+	c.succession.began = boottime.Now()
 	c.mesh = newMesh(c)
 	c.metrics = newHostMetrics(c, o.Metrics)
 	c.store = newRecordStore(filepath.Join(s.DataFolder, recordsFile), c.log)
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/account"
 	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/declare"
@@ -61,7 +62,7 @@
 )
 
 // capabilities are the further messages that this build's broker handles.
-var capabilities = protocol.Capabilities{DetailedAsks: true, Results: true}
+var capabilities = protocol.Capabilities{DetailedAsks: true, Results: true, Currency: true}
 
 // leader runs the broker of one term in a single goroutine.
 type leader struct {
@@ -105,13 +106,15 @@
 	orders       chan struct{}
 	orderPending bool
 	rollouts     rolloutDriver
+	// sharesSentAt is when the shares of client accounts were last planned.
+	sharesSentAt time.Time
 	// sessionsAdded is whether sessions were added since the last distribution.
 	sessionsAdded bool
 }
 
 // newLeader returns the leader of a term. Its lease ends at leaseEnd, in
-// [boottime.Now].
-func newLeader(c *Coordinator, term uint64, leaseEnd time.Duration) *leader {
+// [boottime.Now]. The leader before it may be new itself.
+func newLeader(c *Coordinator, term uint64, leaseEnd time.Duration, predecessorIsNew bool) *leader {
 	b := c.options.Settings.Bounds
 	l := &leader{
 		c: c, term: term, events: make(chan func(time.Time), eventCapacity),
@@ -125,6 +128,8 @@
 			GrantIDBase: term * grantsPerTerm, ColdGrantsFrom: time.Now().Add(coldGrantDelay),
 			ServersKnownFrom: time.Now().Add(serverDiscoveryDuration),
 			Exposure:         rollout.Bounds{Share: b.ExposureShare, Slack: b.ExposureSlack},
+			PredecessorIsNew: predecessorIsNew,
+			AccountBounds:    account.Bounds{Window: b.LimitWindow, Overshoot: b.LimitOvershoot, Slack: b.LimitSlack},
 		}),
 		rollouts: newRolloutDriver(time.Now()),
 	}
@@ -187,6 +192,7 @@
 	l.broker.Tick(now)
 	l.driveRollouts(now)
 	l.logEjections()
+	l.sendAccountShares(now)
 	if l.state.Document.Version > l.sentDocument.Version && now.Sub(l.documentSentAt) >= documentInterval {
 		l.broadcastDocument(now)
 	}
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -33,6 +33,9 @@
 func (c *Coordinator) renewLease(ctx context.Context) {
 	status := c.node.Status()
 	l := c.leading()
+	if status.Leader != "" {
+		c.succession.observe(status.Term, boottime.Now())
+	}
 	if status.Role != raft.Leader.String() || status.Leader == "" {
 		if l != nil {
 			c.stopLeading("another replica leads")
@@ -66,7 +69,7 @@
 // startLeading starts the broker of a term and fetches the records of the other
 // control hosts.
 func (c *Coordinator) startLeading(term uint64, leaseEnd time.Duration) {
-	l := newLeader(c, term, leaseEnd)
+	l := newLeader(c, term, leaseEnd, c.succession.startTerm(term, boottime.Now(), c.options.Settings.Bounds.LimitWindow))
 	c.mu.Lock()
 	c.leader = l
 	c.mu.Unlock()
--- a/coordinator/sessions_test.go
+++ b/coordinator/sessions_test.go
@@ -21,7 +21,7 @@
 func TestManySessionsShareOneDistribution(t *testing.T) {
 	const entries, servers = 200, 300
 	settings := &fleet.Settings{Regions: map[string]string{"a": "west"}, Bounds: fleet.DefaultBounds(), HeartbeatInterval: time.Second}
-	l := newLeader(&Coordinator{options: Options{Settings: settings}, log: zerolog.Nop()}, 1, 0)
+	l := newLeader(&Coordinator{options: Options{Settings: settings}, log: zerolog.Nop()}, 1, 0, false)
 	now := time.Now()
 	for n := range servers {
 		server := registry.BackendServer{ID: fmt.Sprint("i-", n), Service: "s", Address: fmt.Sprint("127.0.0.1:", n+1), AvailabilityZone: "a", Slots: 2}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -114,6 +114,7 @@
 		Drain: 2 * time.Second, GracePeriod: 6 * time.Second, ConfigurationApply: 2 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 0, RetryWindow: 10 * time.Second,
 		ColdRateFactor: 1, ColdSlack: 0, HealthChecksPerSecond: 1,
+		LimitWindow: 5 * time.Second, LimitOvershoot: 0.1,
 	}
 }
 
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"tanagerbarrow/account"
+	"tanagerbarrow/broker"
 	"tanagerbarrow/route"
 	"tanagerbarrow/verdict"
 )
@@ -90,6 +91,14 @@
 	return nil
 }
 
+// refusalStatus returns the status for a refusal of the broker.
+func refusalStatus(reason broker.Reason) int {
+	if reason == broker.ReasonAccountLimit {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
 // accountName returns the name of the caller's client account; empty if there is none.
 func (k *callerRequest) accountName() string {
 	if k.account == nil {
--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"tanagerbarrow/account"
+	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/protocol"
 	"tanagerbarrow/route"
@@ -60,8 +61,14 @@
 	t.Fatalf("configuration %d is not in force", version)
 }
 
-// sendKeyed sends a request with header fields.
+// sendKeyed sends a request with header fields and returns the status of the response.
 func (e *testEntry) sendKeyed(t testing.TB, path string, header http.Header) int {
+	t.Helper()
+	return e.sendWithHeader(t, path, header).StatusCode
+}
+
+// sendWithHeader sends a request with header fields and returns the response, whose body is closed.
+func (e *testEntry) sendWithHeader(t testing.TB, path string, header http.Header) *http.Response {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, e.front.URL+path, strings.NewReader("body"))
 	if err != nil {
@@ -75,7 +82,7 @@
 		t.Fatal(err)
 	}
 	_ = res.Body.Close()
-	return res.StatusCode
+	return res
 }
 
 // TestServersReceiveTheAccountAndNoKey checks what servers receive for each way to present a key and
@@ -167,15 +174,7 @@
 // wrong, which may only be too new, and serves those that it knows.
 func TestEntryWithoutBrokerRefusesNoKey(t *testing.T) {
 	f, e := setUpAccounts(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "x") })
-	_ = f.listener.Close()
-	f.mu.Lock()
-	for _, conn := range f.conns {
-		conn.Close()
-	}
-	f.mu.Unlock()
-	for e.session.inTouch() {
-		time.Sleep(time.Millisecond)
-	}
+	f.silence(t, e)
 	if got := e.sendKeyed(t, "/safe/", http.Header{"Authorization": {"Bearer key-4"}}); got != http.StatusServiceUnavailable {
 		t.Errorf("unknown key: status %d", got)
 	}
@@ -197,3 +196,75 @@
 		t.Errorf("the server received %v", r.Header)
 	}
 }
+
+// limitAccounts gives both accounts a limit.
+func limitAccounts(t *testing.T, f *fakeBroker, e *testEntry) {
+	f.mu.Lock()
+	for n := range f.config.ClientAccounts {
+		f.config.ClientAccounts[n].RatePerSecond = 10
+	}
+	f.config.Version++
+	f.mu.Unlock()
+	f.sendConfiguration(t, e)
+}
+
+// TestAccountAtItsLimitGets429 checks the status and the time that a caller is told.
+func TestAccountAtItsLimitGets429(t *testing.T) {
+	f, e := setUpAccounts(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "x") })
+	f.mu.Lock()
+	f.decide = func(broker.Ask) (uint32, *broker.Refusal, bool) {
+		return 0, &broker.Refusal{Reason: broker.ReasonAccountLimit, RetryMillis: 250}, false
+	}
+	f.mu.Unlock()
+	res := e.sendWithHeader(t, "/safe/", http.Header{"Authorization": {"Bearer key-1"}})
+	if res.StatusCode != http.StatusTooManyRequests || res.Header.Get("Retry-After") != "0.250" {
+		t.Errorf("status %d, header %v", res.StatusCode, res.Header)
+	}
+}
+
+// TestEntryWithoutBrokerKeepsToItsShare checks that an entry without a broker lets through what its share
+// allows, names the share to the next broker, and nothing after the share has expired.
+func TestEntryWithoutBrokerKeepsToItsShare(t *testing.T) {
+	f, e := setUpAccounts(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "x") })
+	limitAccounts(t, f, e)
+	f.mu.Lock()
+	for _, conn := range f.conns {
+		_ = conn.Send(protocol.KindAccountShares, []broker.AccountShare{{ClientAccount: "north", Share: 2}})
+	}
+	f.mu.Unlock()
+	f.received(1, func() int { return len(e.session.accountShares.held()) })
+	f.silence(t, e)
+	var got []int
+	for _, key := range []string{"key-1", "key-1", "key-1", "key-3"} {
+		got = append(got, e.sendKeyed(t, "/safe/", http.Header{"Authorization": {"Bearer " + key}}))
+	}
+	if !slices.Equal(got, []int{200, 200, 503, 503}) {
+		t.Errorf("statuses %v, want 200 for the share of 2, and none without a share", got)
+	}
+	now := boottime.Now()
+	e.session.accountShares.set([]broker.AccountShare{{ClientAccount: "north", Share: 9}}, now)
+	e.session.mu.Lock()
+	e.session.lostSince = now - account.ShareLifetime - time.Second
+	e.session.mu.Unlock()
+	if got := e.sendKeyed(t, "/safe/", http.Header{"Authorization": {"Bearer key-1"}}); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d after the share has expired", got)
+	}
+}
+
+// silence ends the broker, and waits until the entry knows.
+func (f *fakeBroker) silence(t testing.TB, e *testEntry) {
+	t.Helper()
+	_ = f.listener.Close()
+	f.mu.Lock()
+	for _, conn := range f.conns {
+		conn.Close()
+	}
+	f.mu.Unlock()
+	for range 400 {
+		if !e.session.inTouch() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the entry still has a broker")
+}
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -68,6 +68,7 @@
 		var m protocol.Capabilities
 		if err = link.Decode(body, &m); err == nil {
 			c.session.setCapabilities(c.conn, m)
+			c.reportAccountShares(m)
 		}
 	case protocol.KindView:
 		err = c.handleView(body)
@@ -93,6 +94,8 @@
 		if err = link.Decode(body, &r); err == nil {
 			c.session.deliverReply(r.Seq, reply{refusal: &r})
 		}
+	default:
+		err = c.receiveAboutAccounts(kind, body)
 	}
 	return err
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -56,10 +56,7 @@
 	var h attemptHistory
 	for {
 		if err := g.checkAccount(k); err != nil {
-			if h.mayHaveRun() {
-				return h.result(ctx, nil, nil)
-			}
-			return response{retryAfter: defaultRetryAfter}, err
+			return h.result(ctx, nil, err)
 		}
 		a, refusal, err := g.nextAttempt(ctx, k, avoid)
 		if err != nil || a == nil {
@@ -123,6 +120,7 @@
 // own error response if there is one, else the error of an attempt that may have
 // run, and only then a refusal, which promises that the request did not run.
 func (h *attemptHistory) result(ctx context.Context, refusal *broker.Refusal, err error) (response, error) {
+	var own *verdict.Error
 	switch {
 	case h.failedResponse.status != 0:
 		return h.failedResponse, nil
@@ -130,8 +128,10 @@
 		return response{}, h.mayHaveRunErr
 	case refusal != nil:
 		return response{retryAfter: time.Duration(refusal.RetryMillis) * time.Millisecond},
-			verdict.New(verdict.NotRun, http.StatusServiceUnavailable, string(refusal.Reason),
+			verdict.New(verdict.NotRun, refusalStatus(refusal.Reason), string(refusal.Reason),
 				"no backend server may run the request: %d waiting, %d of %d slots in use", refusal.Waiting, refusal.Busy, refusal.Slots)
+	case errors.As(err, &own):
+		return response{retryAfter: defaultRetryAfter}, own
 	case ctx.Err() != nil:
 		return response{retryAfter: defaultRetryAfter},
 			verdict.Wrap(ctx.Err(), verdict.NotRun, http.StatusServiceUnavailable, backend.CodeDeadline, "no slot became free before the deadline")
@@ -186,6 +186,9 @@
 	case g.pauses.viewOutdated():
 		return nil, nil, errors.Wrap(err, "the process was paused and has not heard of the broker since")
 	}
+	if err := g.takeShare(k); err != nil {
+		return nil, nil, err
+	}
 	a := g.chooseAlone(ctx, k, avoid)
 	if a == nil {
 		return nil, g.backoffRefusal(k, avoid), err
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -150,7 +150,8 @@
 func statusOf(e *verdict.Error) int {
 	switch e.Status {
 	case http.StatusNotFound, http.StatusBadRequest, http.StatusRequestEntityTooLarge,
-		http.StatusRequestHeaderFieldsTooLarge, http.StatusUnauthorized:
+		http.StatusRequestHeaderFieldsTooLarge, http.StatusUnauthorized,
+		http.StatusTooManyRequests:
 		return e.Status
 	}
 	if e.Verdict == verdict.NotRun {
@@ -170,7 +171,7 @@
 	if status == http.StatusUnauthorized {
 		c.Response().Header().Set("WWW-Authenticate", g.options.Dialect.KeyScheme)
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		if retryAfter <= 0 {
 			retryAfter = defaultRetryAfter
 		}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"tanagerbarrow/account"
 	"tanagerbarrow/boottime"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/fleet"
@@ -73,6 +74,8 @@
 	heldGrants  map[uint64]string
 	// relayAddress accepts requests that this entry relays; empty if it relays none.
 	relayAddress string
+	// accountShares are what this entry may let through of client accounts without a broker.
+	accountShares *accountShares
 	// path is what the broker knows of the path to the backend servers.
 	path protocol.Path
 }
@@ -82,6 +85,7 @@
 	return &session{
 		settings: s, view: v, log: log, controlHosts: newControlHosts(s.Regions, s.SeedPeers()), lostSince: boottime.Now(),
 		pendingAsks: map[uint64]chan reply{}, heldGrants: map[uint64]string{},
+		accountShares: newAccountShares(s.Bounds.LimitWindow),
 	}
 }
 
@@ -109,6 +113,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before = s.conn
+	if before == nil && boottime.Now()-s.lostSince > account.ShareLifetime {
+		s.accountShares.drop()
+	}
 	s.conn, s.capabilities = conn, protocol.Capabilities{}
 	s.lastReceived, s.suspectSince = time.Now(), time.Time{}
 	s.failPendingAsks()
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -82,8 +82,7 @@
 	// KindAccountShares tells entries what part of the client accounts' request limits they may
 	// use without a broker.
 	KindAccountShares
-	// KindAccountUse tells a broker what an entry has used of the client accounts' request
-	// limits without a broker.
+	// KindAccountUse tells a broker which of these parts an entry holds from before.
 	KindAccountUse
 )
 
