--- a/coordinator/rollouts.go
+++ b/coordinator/rollouts.go
@@ -170,7 +170,7 @@
 		return true
 	}
 	late := l.completionDeadline(move.Service, now)
-	if late || now.Sub(l.rollouts.waitingAt) >= waitingLogInterval {
+	if now.Sub(l.rollouts.waitingAt) >= waitingLogInterval {
 		l.rollouts.waitingAt = now
 		l.log.Warn().Str("event", "rollout_waits").Str("service", move.Service).Strs("entries", missing[:min(len(missing), 10)]).
 			Int("missing", len(missing)).Bool("given_up", late).Send()
