--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -83,6 +83,12 @@
 	backoffs []broker.Backoff
 	// departures are the servers of which entries have reported that they leave.
 	departures []protocol.Leaving
+	// beforeView sends what precedes the full view; nil for nothing.
+	beforeView func(*link.Conn)
+	// details, results and confirmations are what the entries have said about roll-outs.
+	details       []broker.Details
+	results       []broker.Result
+	confirmations []protocol.RolloutsConfirmation
 }
 
 // listen opens a listener that is closed at the end of the test.
@@ -129,22 +135,28 @@
 		_ = link.Decode(body, &s)
 		f.subscriptions = append(f.subscriptions, s)
 		_ = conn.Send(protocol.KindWelcome, protocol.Welcome{Term: 1})
+		if f.beforeView != nil {
+			f.beforeView(conn)
+		}
 		_ = conn.Send(protocol.KindView, protocol.View{Full: true, Servers: f.servers})
 		_ = conn.Send(protocol.KindDocument, f.document())
 	case protocol.KindAsk:
 		var a broker.Ask
 		_ = link.Decode(body, &a)
-		f.asks = append(f.asks, a)
-		server, refusal, silent := f.decide(a)
-		switch {
-		case silent:
-		case refusal != nil:
-			refusal.Seq = a.Seq
-			_ = conn.Send(protocol.KindRefusal, refusal)
-		default:
-			f.nextID++
-			_ = conn.Send(protocol.KindGrant, broker.Grant{Seq: a.Seq, ID: f.nextID, Server: server, Relay: f.relay})
-		}
+		f.answer(conn, a)
+	case protocol.KindDetailedAsk:
+		var a broker.DetailedAsk
+		_ = link.Decode(body, &a)
+		f.details = append(f.details, a.Details)
+		f.answer(conn, a.Ask)
+	case protocol.KindResult:
+		var r broker.Result
+		_ = link.Decode(body, &r)
+		f.results = append(f.results, r)
+	case protocol.KindRollouts:
+		var m protocol.RolloutsConfirmation
+		_ = link.Decode(body, &m)
+		f.confirmations = append(f.confirmations, m)
 	case protocol.KindPath:
 		var p protocol.Path
 		_ = link.Decode(body, &p)
@@ -164,6 +176,21 @@
 	}
 }
 
+// answer replies to an ask. The caller holds the lock.
+func (f *fakeBroker) answer(conn *link.Conn, a broker.Ask) {
+	f.asks = append(f.asks, a)
+	server, refusal, silent := f.decide(a)
+	switch {
+	case silent:
+	case refusal != nil:
+		refusal.Seq = a.Seq
+		_ = conn.Send(protocol.KindRefusal, refusal)
+	default:
+		f.nextID++
+		_ = conn.Send(protocol.KindGrant, broker.Grant{Seq: a.Seq, ID: f.nextID, Server: server, Relay: f.relay})
+	}
+}
+
 // document returns the configuration as it is sent. The caller holds the lock.
 func (f *fakeBroker) document() protocol.Document {
 	content, _ := json.Marshal(f.config)
