--- a/broker/rolloutmoves.go
+++ b/broker/rolloutmoves.go
@@ -11,7 +11,7 @@
 
 // peakLoadDecay is the part of the peak load that is left after one check, so that it falls by
 // half in three seconds.
-const peakLoadDecay = 0.955
+const peakLoadDecay = 0.977
 
 // DueRolloutMoves returns the moves of roll-outs that are due, with the figures that decided
 // them. A move is returned until SetRollouts shows that it was made.
--- a/broker/rolloutresult.go
+++ b/broker/rolloutresult.go
@@ -33,7 +33,7 @@
 	// loadTransport is how much later than its end a request's result arrives.
 	loadTransport = 50 * time.Millisecond
 	// overdueCheckInterval is how often requests in progress are examined.
-	overdueCheckInterval = 200 * time.Millisecond
+	overdueCheckInterval = 100 * time.Millisecond
 )
 
 // overdueKey tells requests apart that counted as slow before they ended.
@@ -61,14 +61,14 @@
 	elapsed := millis(m.ElapsedMillis)
 	o := rollout.Observation{
 		Server: m.Server, Canary: r.isNew(s), Route: m.Route, Failed: failed, Elapsed: elapsed, Slowdown: r.slowdown(s, m, now),
-		Loaded: r.loadedWithin(s, elapsed, now), At: now,
+		Loaded: r.loadedWithin(s, elapsed, now), Began: now.Add(-elapsed), At: now,
 	}
 	if limit, known := r.decision.Evidence.SlowAfter(m.Route); m.Outcome == Abandoned &&
 		(!known || float64(elapsed) <= float64(limit)*o.Slowdown) {
 		// The caller left before it was known whether the response is slow.
 		return
 	}
-	r.decision.Evidence.Record(o, b.newServers(r, now))
+	r.decision.Evidence.Record(o)
 }
 
 // judge reports whether a result is evidence of its server's version, and whether the server
@@ -141,6 +141,7 @@
 			continue
 		}
 		b.updateVersions(r, now)
+		r.decision.Evidence.Judge(b.newServers(r, now), now)
 		if now.Sub(r.overdueCheckedAt) >= overdueCheckInterval {
 			r.overdueCheckedAt = now
 			b.recordOverdue(r, now)
@@ -167,7 +168,6 @@
 // recordOverdue counts the requests in progress that are slow already, so that a version that
 // has become slow shows before its responses arrive.
 func (b *Broker) recordOverdue(r *serviceRollout, now time.Time) {
-	newServers := b.newServers(r, now)
 	inUse := 0
 	for _, g := range b.grants {
 		s := g.server
@@ -186,8 +186,8 @@
 		r.overdue[overdueKey{s.Number, g.route}]++
 		r.decision.Evidence.Record(rollout.Observation{
 			Server: s.Number, Canary: r.isNew(s), Route: g.route, Elapsed: age, Slowdown: slowdown,
-			Loaded: r.loadedWithin(s, age, now), At: now,
-		}, newServers)
+			Loaded: r.loadedWithin(s, age, now), Began: g.grantedAt, At: now,
+		})
 	}
 	r.peakLoad = max(float64(inUse), r.peakLoad*peakLoadDecay)
 }
--- a/rollout/answers.go
+++ b/rollout/answers.go
@@ -33,15 +33,17 @@
 	Slowdown float64
 	// Loaded says that most slots of the server were in use.
 	Loaded bool
-	At     time.Time
+	// Began is when the request was sent, and At when it ended or was found to be overdue.
+	Began, At time.Time
 }
 
 // answer is an observation in which times have been judged.
 type answer struct {
 	server uint32
 	route  int
-	at     time.Time
-	failed bool
+	// at is when the answer was known, and began when its request was sent.
+	at, began time.Time
+	failed    bool
 	// timed says that slow is known.
 	timed, slow bool
 	loaded      bool
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -46,6 +46,7 @@
 // Next returns the stage to which the roll-out is to move now and the reason; an empty stage and
 // the reason why it waits if there is none.
 func (r *Rollout) Next(c Conditions, now time.Time) (stage declare.RolloutStage, reason string) {
+	r.Evidence.Judge(c.NewServers, now)
 	if v := r.Evidence.Verdict(); v != nil {
 		return declare.RolloutRolledBack, v.Reason
 	}
@@ -59,7 +60,7 @@
 		return "", reason
 	}
 	last := !now.Before(r.Plan.LatestSwitch(c.ServiceTime))
-	if doubt := r.Evidence.Doubtful(c.NewServers); doubt != "" {
+	if doubt, _ := r.Evidence.Doubtful(c.NewServers, now); doubt != "" {
 		if last {
 			return declare.RolloutRolledBack, "in doubt at the end: " + doubt
 		}
@@ -91,7 +92,13 @@
 func (r *Rollout) completion(c Conditions, now time.Time) (stage declare.RolloutStage, reason string) {
 	reason = fmt.Sprintf("%d requests left on old servers", c.LeftOnOld)
 	observe := max(leastObserved, observedServiceTimes*c.ServiceTime)
-	if now.Before(r.Plan.CompleteBy()) && (c.LeftOnOld > 0 || now.Sub(c.SwitchedAt) < observe) {
+	last := !now.Before(r.Plan.CompleteBy())
+	switch doubt, strong := r.Evidence.Doubtful(c.NewServers, now); {
+	case doubt != "" && (strong || last):
+		return declare.RolloutRolledBack, "in doubt after the switch: " + doubt
+	case doubt != "":
+		return "", "in doubt: " + doubt
+	case !last && (c.LeftOnOld > 0 || now.Sub(c.SwitchedAt) < observe):
 		return "", reason
 	}
 	return declare.RolloutCompleted, reason
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -18,16 +18,33 @@
 	// rollbackScore is the logarithm of the likelihood ratio from which a version is rolled back:
 	// for one window, a version at the margin passes it with a probability of e^-10.
 	rollbackScore = 10.0
-	// doubtfulScore is the one from which a version with little evidence is not completed.
-	doubtfulScore = 3.0
+	// doubtfulScore is the one from which a version is not completed. It is lower with fewer
+	// than manyAnswers responses of the canary, which could not show more.
+	doubtfulScore    = 4.0
+	lowDoubtfulScore = 2.0
+	manyAnswers      = 120
+	// switchedScore is the one from which a version is rolled back after the switch, when more
+	// than its share is at stake; with fewer than fewAnswers it is lowSwitchedScore.
+	switchedScore    = 7.0
+	lowSwitchedScore = 3.0
+	fewAnswers       = 200
+	// slowDoubt is the weight of slow responses in a doubt: a few slow ones together are usual
+	// where machines change their pace.
+	slowDoubt = 0.6
+	// doubtPerServer is what a server contributes to a doubt at most: about two bad answers.
+	doubtPerServer = 1.6
+	// firstWindow is the shortest window, in responses; each further one is twice as long.
+	firstWindow = 4
+	// minBaseline is the number of responses of the baseline that a window is compared with.
+	minBaseline = 50
 	// maxBreadth is the number of servers that a verdict needs at most; of fewer new servers it
 	// needs more than a quarter. What one server contributes is bounded accordingly, so that bad
 	// machines don't condemn a version.
 	maxBreadth = 4
-	// minBaseline is the number of responses of the baseline that a window is compared with.
-	minBaseline = 50
-	// firstWindow is the shortest window, in responses; each further one is twice as long.
-	firstWindow = 4
+	// judgeInterval is the least time between two tests.
+	judgeInterval = 50 * time.Millisecond
+	// doubtInterval is the least time between two tests of all streams.
+	doubtInterval = 200 * time.Millisecond
 	// outlierAnswers and outlierExcess tell a bad machine of the baseline: its responses, and by
 	// how much its rate exceeds that of all.
 	outlierAnswers = 6
@@ -49,13 +66,25 @@
 	// canaryTotal counts all responses of the canary.
 	canaryTotal int
 	verdict     *Verdict
+	judgedAt    time.Time
+	doubt       doubt
+	// suspects are the streams that have got bad answers of the canary since the last test.
+	suspects map[suspect]bool
+}
+
+// suspect is a stream to be tested for a kind of bad answers.
+type suspect struct {
+	kind   kind
+	stream stream
 }
 
 // Verdict says that a version is bad, and why.
 type Verdict struct{ Reason string }
 
 // NewEvidence returns an empty evidence.
-func NewEvidence() *Evidence { return &Evidence{routeNumbers: map[string]int{}} }
+func NewEvidence() *Evidence {
+	return &Evidence{routeNumbers: map[string]int{}, suspects: map[suspect]bool{}}
+}
 
 // Answers returns the number of the canary's responses.
 func (e *Evidence) Answers() int { return e.canaryTotal }
@@ -74,10 +103,9 @@
 	return time.Duration(slowFactor*float64(median)) + slowExtra, ok
 }
 
-// Record adds an observation, while the new version has newServers usable servers. A verdict,
-// once reached, stays.
-func (e *Evidence) Record(o Observation, newServers int) {
-	a := answer{server: o.Server, route: e.routeNumber(o.Route), at: o.At, failed: o.Failed, loaded: o.Loaded}
+// Record adds an observation.
+func (e *Evidence) Record(o Observation) {
+	a := answer{server: o.Server, route: e.routeNumber(o.Route), began: o.Began, at: o.At, failed: o.Failed, loaded: o.Loaded}
 	if !o.Failed && o.Elapsed > 0 {
 		corrected := time.Duration(float64(o.Elapsed) / max(o.Slowdown, 1))
 		if limit, ok := e.SlowAfter(o.Route); ok {
@@ -94,15 +122,36 @@
 	}
 	e.canary.add(a, canaryAnswers)
 	e.canaryTotal++
-	if e.verdict != nil || !a.failed && !a.slow {
+	if !a.failed && !a.slow {
 		return
 	}
 	k := failures
 	if a.slow {
 		k = slowness
 	}
-	if s := e.worst(k, []stream{{route: -1}, {route: a.route}, {route: -1, loadedOnly: true}}, newServers); s.score >= rollbackScore {
-		e.verdict = &Verdict{Reason: e.describe(s)}
+	for _, s := range []stream{{route: -1}, {route: a.route}, {route: -1, loadedOnly: true}} {
+		e.suspects[suspect{k, s}] = true
+	}
+}
+
+// Judge tests the new version, which has newServers usable servers, if it has got bad answers. A
+// verdict, once reached, stays. Slowness is judged by the requests that began so long ago that
+// slow ones are known as well.
+func (e *Evidence) Judge(newServers int, now time.Time) {
+	if e.verdict != nil || len(e.suspects) == 0 || now.Sub(e.judgedAt) < judgeInterval {
+		return
+	}
+	e.judgedAt = now
+	best := finding{}
+	for s := range e.suspects {
+		f := e.test(s.kind, s.stream, rollbackScore/float64(breadth(newServers)), now)
+		if f.score > best.score || f.score == best.score && f.stream.route < best.stream.route {
+			best = f
+		}
+	}
+	clear(e.suspects)
+	if best.score >= rollbackScore {
+		e.verdict = &Verdict{Reason: e.describe(best)}
 	}
 }
 
@@ -140,18 +189,6 @@
 	baselineCount int
 }
 
-// worst returns the finding of highest score among streams.
-func (e *Evidence) worst(k kind, streams []stream, newServers int) finding {
-	outliers := e.outliers(k)
-	best := finding{kind: k}
-	for _, s := range streams {
-		if f := e.test(k, s, newServers, outliers); f.score > best.score {
-			best = f
-		}
-	}
-	return best
-}
-
 // tally counts the answers of a server or of a window.
 type tally struct{ n, bad int }
 
@@ -167,34 +204,30 @@
 func (t tally) rate() float64 { return float64(t.bad) / float64(max(t.n, 1)) }
 
 // test applies the test to all windows of a stream that end now, and returns the finding of
-// highest score.
-func (e *Evidence) test(k kind, s stream, newServers int, outliers map[uint32]bool) finding {
+// highest score. A server contributes at most perServer to it.
+func (e *Evidence) test(k kind, s stream, perServer float64, now time.Time) finding {
 	best := finding{kind: k, stream: s}
+	answers := e.canaryAnswers(k, s, now)
+	base := e.newBaseline(k, s, now)
 	servers := map[uint32]*tally{}
 	all, window := tally{}, firstWindow
-	base := e.newBaselineScan(k, s, outliers)
-	for n := range e.canary.answers {
-		a := e.canary.back(n)
-		last := n == len(e.canary.answers)-1
-		if s.has(a) {
-			if counts, bad := a.counts(k); counts {
-				t := servers[a.server]
-				if t == nil {
-					t = &tally{}
-					servers[a.server] = t
-				}
-				t.add(bad)
-				all.add(bad)
-			}
+	for n, a := range answers {
+		_, bad := a.counts(k)
+		t := servers[a.server]
+		if t == nil {
+			t = &tally{}
+			servers[a.server] = t
 		}
-		if all.n < window && !last {
+		t.add(bad)
+		all.add(bad)
+		if all.n < window && n < len(answers)-1 {
 			continue
 		}
-		window = max(2*window, firstWindow)
+		window *= 2
 		f := finding{kind: k, stream: s, n: all.n, bad: all.bad, servers: len(servers)}
-		b := base.since(a.at)
+		b := base.since(a.orderedBy(k))
 		f.baselineRate, f.baselineCount = b.rate(), b.n
-		f.score = score(k, all, servers, b, newServers)
+		f.score = score(k, all, servers, b, perServer)
 		if f.score > best.score {
 			best = f
 		}
@@ -202,9 +235,45 @@
 	return best
 }
 
+// canaryAnswers returns the canary's answers that are evidence about a kind in a stream, the
+// newest first.
+func (e *Evidence) canaryAnswers(k kind, s stream, now time.Time) []*answer {
+	var answers []*answer
+	for n := range e.canary.answers {
+		a := e.canary.back(n)
+		if s.has(a) && e.isEvidence(a, k, now) {
+			answers = append(answers, a)
+		}
+	}
+	if k == slowness {
+		slices.SortStableFunc(answers, func(x, y *answer) int { return y.began.Compare(x.began) })
+	}
+	return answers
+}
+
+// isEvidence reports whether an answer is evidence about a kind. Whether requests are slow counts
+// only if all that began at the time would be known to be slow by now: fast ones are known
+// earlier.
+func (e *Evidence) isEvidence(a *answer, k kind, now time.Time) bool {
+	counts, _ := a.counts(k)
+	if !counts || k == failures {
+		return counts
+	}
+	limit, known := e.SlowAfter(e.routes[a.route])
+	return known && now.Sub(a.began) >= limit
+}
+
+// orderedBy is the time by which the answers of a kind are ordered.
+func (a *answer) orderedBy(k kind) time.Time {
+	if k == slowness {
+		return a.began
+	}
+	return a.at
+}
+
 // score is the logarithm of the likelihood ratio of the rate that was seen to the baseline's
 // rate plus the margin. Each server contributes at most its part.
-func score(k kind, all tally, servers map[uint32]*tally, baseline tally, newServers int) float64 {
+func score(k kind, all tally, servers map[uint32]*tally, baseline tally, perServer float64) float64 {
 	margin := failureMargin
 	if k == slowness {
 		margin = slowMargin
@@ -215,10 +284,9 @@
 	if p1 < p0+leastDifference {
 		return 0
 	}
-	limit := rollbackScore / float64(breadth(newServers))
 	sum := 0.0
 	for _, t := range servers {
-		sum += min(float64(t.bad)*math.Log(p1/p0)+float64(t.n-t.bad)*math.Log((1-p1)/(1-p0)), limit)
+		sum += min(float64(t.bad)*math.Log(p1/p0)+float64(t.n-t.bad)*math.Log((1-p1)/(1-p0)), perServer)
 	}
 	return sum
 }
@@ -226,45 +294,48 @@
 // breadth is the number of servers that must have shown a fault.
 func breadth(newServers int) int { return max(1, min(maxBreadth, newServers/4+1)) }
 
-// baselineScan counts the answers of the baseline backwards.
-type baselineScan struct {
-	e        *Evidence
-	kind     kind
-	stream   stream
-	outliers map[uint32]bool
-	next     int
-	sum      tally
+// Spans of time in which the answers of the baseline are counted.
+const (
+	baselineSpan  = 100 * time.Millisecond
+	baselineSpans = 600
+)
+
+// baseline holds the answers that a stream of the canary is compared with, by spans of time
+// before now.
+type baseline struct {
+	now   time.Time
+	spans []tally
+	// next is the first span that is not in sum.
+	next int
+	sum  tally
 }
 
-// newBaselineScan returns a scan of the answers that a stream of the canary is compared with. A
-// route or load of which the baseline has too few answers is compared with all.
-func (e *Evidence) newBaselineScan(k kind, s stream, outliers map[uint32]bool) *baselineScan {
-	whole := &baselineScan{e: e, kind: k, stream: s, outliers: outliers}
+// newBaseline returns the baseline of a stream. A route or load of which it has too few answers is
+// compared with all.
+func (e *Evidence) newBaseline(k kind, s stream, now time.Time) *baseline {
+	outliers := e.outliers(k)
+	b := &baseline{now: now, spans: make([]tally, baselineSpans)}
 	n := 0
-	for i := 0; i < len(e.baseline.answers) && n < minBaseline; i++ {
-		if a := e.baseline.back(i); s.has(a) {
-			n++
+	for i := range e.baseline.answers {
+		a := &e.baseline.answers[i]
+		if !s.has(a) || outliers[a.server] || !e.isEvidence(a, k, now) {
+			continue
 		}
+		_, bad := a.counts(k)
+		b.spans[min(int(now.Sub(a.orderedBy(k))/baselineSpan), baselineSpans-1)].add(bad)
+		n++
 	}
-	if n < minBaseline {
-		whole.stream = stream{route: -1}
+	if n < minBaseline && s != (stream{route: -1}) {
+		return e.newBaseline(k, stream{route: -1}, now)
 	}
-	return whole
+	return b
 }
 
 // since returns the tally of the answers since a time, and of earlier ones if they are too few.
-func (b *baselineScan) since(at time.Time) tally {
-	for ; b.next < len(b.e.baseline.answers); b.next++ {
-		a := b.e.baseline.back(b.next)
-		if a.at.Before(at) && b.sum.n >= minBaseline {
-			break
-		}
-		if !b.stream.has(a) || b.outliers[a.server] {
-			continue
-		}
-		if counts, bad := a.counts(b.kind); counts {
-			b.sum.add(bad)
-		}
+func (b *baseline) since(at time.Time) tally {
+	for last := int(b.now.Sub(at) / baselineSpan); b.next < len(b.spans) && (b.next <= last || b.sum.n < minBaseline); b.next++ {
+		b.sum.n += b.spans[b.next].n
+		b.sum.bad += b.spans[b.next].bad
 	}
 	return b.sum
 }
@@ -309,19 +380,53 @@
 	return out
 }
 
-// Doubtful returns the reason why a version with little evidence is not completed; empty if
-// there is none.
-func (e *Evidence) Doubtful(newServers int) string {
-	streams := []stream{{route: -1}}
+// doubt is the finding that speaks most against a version.
+type doubt struct {
+	at      time.Time
+	finding finding
+}
+
+// Doubtful returns the reason why a version is not completed yet though there is no verdict;
+// empty if there is none. Strong says that the evidence is strong enough for a service that has
+// been switched already.
+func (e *Evidence) Doubtful(newServers int, now time.Time) (reason string, strong bool) {
+	limit := doubtfulScore
+	if e.canaryTotal < manyAnswers {
+		limit = lowDoubtfulScore
+	}
+	if now.Sub(e.doubt.at) >= doubtInterval {
+		perServer := limit
+		if breadth(newServers) > 1 {
+			perServer = doubtPerServer
+		}
+		e.doubt = doubt{at: now, finding: e.worst(perServer, now)}
+	}
+	f := e.doubt.finding
+	if f.score < limit {
+		return "", false
+	}
+	return e.describe(f), f.score >= switchedScore || e.canaryTotal < fewAnswers && f.score >= lowSwitchedScore
+}
+
+// worst returns the finding of highest score in all streams.
+func (e *Evidence) worst(perServer float64, now time.Time) finding {
+	streams := []stream{{route: -1}, {route: -1, loadedOnly: true}}
 	for n := range e.routes {
 		streams = append(streams, stream{route: n})
 	}
-	for _, k := range []kind{failures, slowness} {
-		if f := e.worst(k, streams, newServers); f.score >= doubtfulScore {
-			return e.describe(f)
+	best := finding{}
+	for _, s := range streams {
+		for _, k := range []kind{failures, slowness} {
+			f := e.test(k, s, perServer, now)
+			if k == slowness {
+				f.score *= slowDoubt
+			}
+			if f.score > best.score {
+				best = f
+			}
 		}
 	}
-	return ""
+	return best
 }
 
 // describe returns a finding in words.
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -9,23 +9,36 @@
 	// when the verdict falls, and for the first responses after the switch.
 	canaryShare = 0.7
 	// earlyShare is the part of canaryShare that may be used before lateFrom. What it leaves is
-	// used right before the switch, when a version that turns bad late shows.
-	earlyShare = 0.5
-	lateFrom   = 0.55
+	// used step by step until fullFrom, shortly before the switch, when a version that turns bad
+	// late shows. With little traffic it is lowEarlyShare.
+	earlyShare    = 0.5
+	lowEarlyShare = 0.35
+	lateFrom      = 0.55
+	fullFrom      = 0.75
 	// spreadShare is the part of the allowance that is used while requests are spread over all
 	// new servers. The rest is used when they are grouped on few.
 	spreadShare = 0.6
 	// maxDrawnShare bounds the part of the requests of one route that is drawn at a time, so that
 	// there is always a baseline to compare with.
 	maxDrawnShare = 0.5
-	// groupPeriod is how often requests are grouped, and groupLength for how long.
-	groupPeriod = 3 * time.Second
-	groupLength = time.Second
+	// groupPeriod is how often requests are grouped, and groupLength for how long. With little
+	// traffic it is lowTrafficPeriod, in which enough requests are saved to fill a server.
+	groupPeriod      = 3 * time.Second
+	groupLength      = time.Second
+	lowTrafficPeriod = 6 * time.Second
+	// rateKnownAfter is how long requests are counted before the traffic counts as little.
+	rateKnownAfter = 2 * time.Second
 	// lowTrafficRequests is the number of canary requests that the usual share would give in the
 	// whole span below which a service has little traffic, and lowTrafficSlack the part of the
 	// bound's slack that it may use then.
 	lowTrafficRequests = 60
-	lowTrafficSlack    = 0.4
+	lowTrafficSlack    = 0.7
+	// blindSlack is the part of the slack that may be counted on when a service is switched with
+	// little evidence, and blindGrowth by how much its requests may increase meanwhile.
+	blindSlack  = 0.9
+	blindGrowth = 1.5
+	// lowTrafficSaved is the number of requests that are saved for the next group then.
+	lowTrafficSaved = 6
 	// maxCredit bounds the requests of a route that may be made up for.
 	maxCredit = 3.0
 )
@@ -77,30 +90,42 @@
 
 // lowTraffic reports whether the service has too few requests to judge by the usual share.
 func (x *Exposure) lowTraffic(now time.Time) bool {
-	elapsed := max(now.Sub(x.since).Seconds(), 1)
-	expected := float64(x.all) / elapsed * x.plan.Due.Sub(x.since).Seconds()
+	elapsed := now.Sub(x.since)
+	if elapsed < rateKnownAfter {
+		return false
+	}
+	expected := float64(x.all) / elapsed.Seconds() * x.plan.Due.Sub(x.since).Seconds()
 	return expected*x.bounds.Share*canaryShare*lateFrom < lowTrafficRequests
 }
 
 // allowance is the number of requests that the new version may have got by now.
 func (x *Exposure) allowance(now time.Time) float64 {
-	share := x.bounds.Share * canaryShare
-	if x.lowTraffic(now) {
-		if x.complete {
-			return share*float64(x.all) + lowTrafficSlack*float64(x.bounds.Slack)
-		}
-		return share * float64(x.all)
+	allowed := x.bounds.Share * canaryShare * float64(x.all)
+	low := x.lowTraffic(now)
+	if low && x.complete {
+		allowed += lowTrafficSlack * float64(x.bounds.Slack)
 	}
-	if x.plan.progress(now) < lateFrom {
-		share *= earlyShare
+	early := earlyShare
+	if low {
+		early = lowEarlyShare
+	}
+	late := (x.plan.progress(now) - lateFrom) / (fullFrom - lateFrom)
+	allowed *= early + (1-early)*min(max(late, 0), 1)
+	if low && !x.Grouping(now) {
+		// Requests are saved so that they can fill a server.
+		allowed -= lowTrafficSaved
 	}
-	return share * float64(x.all)
+	return allowed
 }
 
 // Grouping reports whether the canary's requests are to run on few servers now, so that a fault
 // shows that only loaded servers have.
 func (x *Exposure) Grouping(now time.Time) bool {
-	return now.Sub(x.plan.Began)%groupPeriod >= groupPeriod-groupLength
+	period := groupPeriod
+	if x.lowTraffic(now) {
+		period = lowTrafficPeriod
+	}
+	return now.Sub(x.plan.Began)%period >= period-groupLength
 }
 
 // Draw reports whether a first attempt of a route is to go to the new version.
@@ -129,7 +154,7 @@
 		share *= earlyShare * spreadShare
 	} else {
 		// What was saved is used until the switch.
-		share *= 1 + (1-earlyShare)*lateFrom/(1-lateFrom)
+		share *= 1 + (1-earlyShare)*lateFrom/(fullFrom-lateFrom)
 	}
 	total := 0
 	for _, other := range x.routes {
@@ -147,5 +172,5 @@
 		return false
 	}
 	rest := max(0, x.plan.Due.Sub(now).Seconds()) * float64(x.all) / elapsed
-	return float64(x.canary)+1.5*rest <= float64(x.bounds.Slack)*(1-lowTrafficSlack)+x.bounds.Share*float64(x.all)
+	return float64(x.canary)+blindGrowth*rest <= blindSlack*float64(x.bounds.Slack)+x.bounds.Share*float64(x.all)
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -6,14 +6,14 @@
 const (
 	// completionMarginShare is the part of the duration that is left when a roll-out ends, within
 	// leastMargin and longestMargin: an operator reads the end some time after it was committed.
-	completionMarginShare = 1.0 / 12
+	completionMarginShare = 1.0 / 15
 	leastMargin           = time.Second
 	longestMargin         = 10 * time.Second
 	// controlTime is the time for the two commits of a switch and for the entries to confirm it.
-	controlTime = time.Second
+	controlTime = 500 * time.Millisecond
 	// drainServiceTimes is the time, as a multiple of the mean service time, in which requests on
 	// old servers usually end, and maxDrainShare bounds it as a part of the duration.
-	drainServiceTimes = 6
+	drainServiceTimes = 4
 	leastDrain        = time.Second
 	maxDrainShare     = 0.2
 	// maxReserveShare bounds the part of the duration after the switch, so that a short roll-out
