Bound what callers make a process hold

Bodies had a budget, but nothing else that a caller can make a process hold: heads and their decoded fields, connections, responses that are not read, the bodies of operators' calls, messages of strangers at the internal port. A body that stopped before its end kept its memory for good, and requests sent ahead behind the last response of a connection reset it before the caller had read it.

serving.Guard follows the phase and the progress of each connection. It closes those that transfer less than 1 KB a second over 10 s, takes long heads from the budget of bodies while they arrive, and makes room by closing those that hold most for longest with least progress, never one whose request is being served. Connections are bounded from memoryMb and fdLimit, in shares for callers, relays, probes, calls and links. A body has to arrive by its request's deadline (408). Calls take their body and its decoded form from a budget. Messages of the internal protocol take memory as they arrive, and long ones of a peer without a hello are skipped.

--- a/bodybuf/budget.go
+++ b/bodybuf/budget.go
@@ -1,14 +1,29 @@
 package bodybuf
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Budget limits the memory of all bodies that are held, in bytes. It is safe for
 // concurrent use.
 type Budget struct {
+	// Reclaim, if set, is called when the budget is exhausted. It asks the holders of at least
+	// the given number of bytes to release them soon, and reports whether any will. It must be
+	// set before the first use.
+	Reclaim func(bytes int64) bool
+
 	mu          sync.Mutex
 	total, free int64
 }
 
+// A reclaimed holder releases its memory once its goroutine has run. reclaimPolls and
+// reclaimPoll bound the wait for that.
+const (
+	reclaimPolls = 20
+	reclaimPoll  = 5 * time.Millisecond
+)
+
 // NewBudget returns a budget of the given number of bytes.
 func NewBudget(total int64) *Budget { return &Budget{total: total, free: total} }
 
@@ -22,6 +37,27 @@
 	return b.free
 }
 
+// Take takes n bytes if at least leave bytes remain free then, also after others have
+// released some. It reports whether it took them. The caller returns them with [Budget.Release].
+func (b *Budget) Take(n, leave int64) bool {
+	if b.reserve(n, leave) {
+		return true
+	}
+	if b.Reclaim == nil || n+leave > b.total || !b.Reclaim(n) {
+		return false
+	}
+	for range reclaimPolls {
+		time.Sleep(reclaimPoll)
+		if b.reserve(n, leave) {
+			return true
+		}
+	}
+	return false
+}
+
+// Release returns bytes that were taken.
+func (b *Budget) Release(n int64) { b.release(n) }
+
 // reserve takes n bytes if at least leave bytes remain free then. It reports
 // whether it took them.
 func (b *Budget) reserve(n, leave int64) bool {
--- a/bodybuf/buffer.go
+++ b/bodybuf/buffer.go
@@ -150,7 +150,7 @@
 	if b.limits.LeaveOwnSize {
 		leave = max(leave, b.reserved+n)
 	}
-	if !b.budget.reserve(n, leave) {
+	if !b.budget.Take(n, leave) {
 		return false
 	}
 	b.reserved += n
--- a/cmd/tanagerbarrow/deployment.go
+++ b/cmd/tanagerbarrow/deployment.go
@@ -36,6 +36,15 @@
 	// controlIdleTimeout keeps the connection of a backend server open between two
 	// heartbeats.
 	controlIdleTimeout = 30 * time.Second
+	// controlDescriptorShare is the part of the descriptors for them. controlMemoryDivisor sets
+	// the part of the memory, one divided by it, and controlConnectionMemory is what each needs.
+	controlDescriptorShare  = 0.4
+	controlMemoryDivisor    = 6
+	controlConnectionMemory = 28 << 10
+	// maxMetricsConnections bounds the connections of those that read the metrics.
+	maxMetricsConnections = 16
+	// maxRefusedCallLines bounds the log lines about refused calls in a second.
+	maxRefusedCallLines = 50
 	// shutdownTimeout limits how long a stopping control process waits until its
 	// last answers to operators and backend servers are sent.
 	shutdownTimeout = 500 * time.Millisecond
@@ -49,6 +58,19 @@
 	}
 }
 
+// controlConnections returns the number of connections of operators and backend servers on a
+// host.
+func controlConnections(s *fleet.Settings) int {
+	n := maxControlConnections
+	if s.MemoryBytes > 0 {
+		n = min(n, int(s.MemoryBytes/controlMemoryDivisor/controlConnectionMemory))
+	}
+	if s.MaxDescriptors > 0 {
+		n = min(n, int(controlDescriptorShare*float64(s.MaxDescriptors)))
+	}
+	return n
+}
+
 // runDeployment loads the settings of the deployment's platform and runs a gateway
 // or coordinator process until SIGINT or SIGTERM.
 func runDeployment(role string, start func(context.Context, *fleet.Settings, followSeeds, zerolog.Logger, *metrics.Set) error) {
@@ -104,6 +126,7 @@
 	})
 	server, err := serving.Listen(e, netip.AddrPortFrom(s.Host.Address, s.MetricsPort), listenerLimits())
 	if err == nil {
+		server.Guarded(serving.NewGuard(serving.GuardOptions{Name: "metrics", MaxConnections: maxMetricsConnections, Log: log, Metrics: set}))
 		err = server.Serve()
 	}
 	log.Error().Str("event", "metrics_not_served").Err(err).Send()
@@ -128,11 +151,18 @@
 		return err
 	}
 	e := serving.NewEcho()
-	(&platform.ControlAPI{Coordinator: c, Log: log}).Register(e)
+	bodies := platform.NewBodies(s.MemoryBytes)
+	refusals := telemetry.NewRateLimitedLogger(log, "refused_calls", maxRefusedCallLines)
+	(&platform.ControlAPI{Coordinator: c, Bodies: bodies, Log: refusals}).Register(e)
 	server, err := serving.Listen(e, s.ControlAddress, listenerLimits())
 	if err != nil {
 		return err
 	}
+	guard := serving.NewGuard(serving.GuardOptions{
+		Name: "control", MaxConnections: controlConnections(s), Memory: bodies, Log: log, Metrics: set,
+	})
+	bodies.Reclaim = guard.Reclaim
+	server.Guarded(guard)
 	go func() {
 		if err := server.Serve(); err != nil {
 			log.Error().Str("event", "control_not_served").Err(err).Send()
--- a/control/control.go
+++ b/control/control.go
@@ -67,6 +67,7 @@
 	if c.operatorServer, err = serving.Listen(routes, s.Control.OperatorListen, s.Limits); err != nil {
 		return nil, err
 	}
+	c.operatorServer.Guarded(serving.NewGuard(serving.GuardOptions{Name: "operators", Log: log, Metrics: c.metrics.Set}))
 	c.operatorServer.UseTLS(secure.OperatorServer())
 	c.peerListener, err = net.Listen("tcp", s.Host.Peer.String())
 	return c, errors.Wrapf(err, "listen for peers on %s", s.Host.Peer)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -75,6 +75,7 @@
 	machine   *declare.Machine
 	node      *replica
 	mesh      *mesh
+	strangers strangers
 	metrics   *hostMetrics
 	store     *recordStore
 
@@ -121,6 +122,7 @@
 		},
 	}
 	c.succession.began = boottime.Now()
+	c.strangers.maxLinks = maxLinks(s.MemoryBytes, s.MaxDescriptors)
 	c.mesh = newMesh(c)
 	c.metrics = newHostMetrics(c, o.Metrics)
 	c.store = newRecordStore(filepath.Join(s.DataFolder, recordsFile), c.log)
--- a/coordinator/mesh.go
+++ b/coordinator/mesh.go
@@ -307,7 +307,12 @@
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
-			go c.serveLink(ctx, link.New(conn))
+			opened := link.New(conn)
+			opened.LimitFrames(maxStrangerFrameBytes)
+			if toClose := c.strangers.add(opened); toClose != nil {
+				toClose.Close()
+			}
+			go c.serveLink(ctx, opened)
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, net.ErrClosed):
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -31,6 +31,7 @@
 		func(kind link.Kind, body []byte) { c.receive(in, kind, body) },
 		func(kind link.Kind, body []byte) (any, error) { return c.handleCall(kind, body) },
 	)
+	c.strangers.ended(conn)
 	c.mu.Lock()
 	delete(c.inbound, in)
 	c.mu.Unlock()
@@ -89,6 +90,7 @@
 	if err := link.Decode(body, &in.hello); err != nil {
 		return err
 	}
+	c.strangers.introduced(in.conn)
 	if h := in.hello.ControlHost; h != nil {
 		if err := c.mesh.meet(*h); err != nil {
 			in.conn.Close()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,6 +100,8 @@
 	if e.admin, err = serving.Listen(e.adminRoutes(), e.settings.Entry.AdminListen, e.settings.Limits); err != nil {
 		return err
 	}
+	e.callers.Guarded(serving.NewGuard(serving.GuardOptions{Name: "callers", Streams: true, Log: e.log, Metrics: e.metrics.Set}))
+	e.admin.Guarded(serving.NewGuard(serving.GuardOptions{Name: "admin", Log: e.log, Metrics: e.metrics.Set}))
 	e.peerListener, err = net.Listen("tcp", e.settings.Host.Peer.String())
 	return errors.Wrapf(err, "listen for peers on %s", e.settings.Host.Peer)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,9 @@
 	DataFolder string
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors that the process may use for connections
+	// and files of its own; 0 if it is not known.
+	MaxDescriptors int
 	// LinkBytesPerSecond is the bandwidth of the host's own network link; 0 if it is
 	// not known.
 	LinkBytesPerSecond int64
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -16,6 +16,7 @@
 	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/route"
+	"tanagerbarrow/serving"
 	"tanagerbarrow/verdict"
 )
 
@@ -150,7 +151,7 @@
 func statusOf(e *verdict.Error) int {
 	switch e.Status {
 	case http.StatusNotFound, http.StatusBadRequest, http.StatusRequestEntityTooLarge,
-		http.StatusRequestHeaderFieldsTooLarge, http.StatusUnauthorized,
+		http.StatusRequestHeaderFieldsTooLarge, http.StatusRequestTimeout, http.StatusUnauthorized,
 		http.StatusTooManyRequests:
 		return e.Status
 	}
@@ -190,6 +191,7 @@
 		h.Set("Content-Length", strconv.Itoa(res.body.Len()))
 	}
 	c.Response().WriteHeader(res.status)
+	serving.Holds(c.Request().Context(), k.body.Len()+res.body.Len())
 	err := writeBody(c.Response(), res.body, g.pacer.outgoing(c.Request().Context(), res.body.Len()))
 	g.recordRequest(k, res.status, nil)
 	return errors.Wrap(err, "write the response to the caller")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,13 +202,16 @@
 		return err
 	}
 	callerServer.UseTimeouts(g.view.timeouts)
+	guards := g.newGuards()
+	callerServer.Guarded(guards.callers)
 	readinessRoutes := serving.NewEcho()
 	readinessRoutes.GET(g.options.ReadinessPath, g.handleReadiness)
 	readinessServer, err := serving.Listen(readinessRoutes, s.ReadinessAddress, limits)
 	if err != nil {
 		return err
 	}
-	relayServer, err := g.listenForRelays()
+	readinessServer.Guarded(guards.probes)
+	relayServer, err := g.listenForRelays(guards.relays)
 	if err != nil {
 		return err
 	}
@@ -272,7 +275,7 @@
 	if failure == nil && status < http.StatusInternalServerError {
 		line = g.successLog.Info()
 	}
-	line = line.Str("event", "request_ended").Str("request_id", k.id).Str("route", routeName).Str("service", k.service).
+	line = line.Str("event", "request_ended").Str("request_id", logText(k.id)).Str("route", routeName).Str("service", k.service).
 		Uint64("config_version", k.version).Int("status", status).Str("server", k.lastServerID).Int("tries", k.attemptsReached).
 		Dur("took_ms", took).Dur("asked_ms", k.brokerWait).Dur("limit_ms", k.callerTimeout).Uint64("broker_term", g.view.currentTerm())
 	if k.lastRelay != "" {
@@ -301,7 +304,7 @@
 	if outcome == broker.Answered {
 		return
 	}
-	g.failureLog.Warn().Str("event", "try_failed").Str("request_id", k.id).Str("server", a.server.ID).
+	g.failureLog.Warn().Str("event", "try_failed").Str("request_id", logText(k.id)).Str("server", a.server.ID).
 		Str("address", a.server.Address).Uint8("outcome", uint8(outcome)).Bool("alone", a.grantID == 0).Str("relay", a.relay).
 		Dur("took_ms", took).Err(err).Send()
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/route"
 	"tanagerbarrow/serving"
@@ -90,32 +88,6 @@
 	return bodybuf.Limits{MaxBytes: limit, LeaveFree: forResponses, ReserveDeclared: true}
 }
 
-// readBody reads the body before the broker is asked for a server, so that a slow
-// upload occupies no slot. A body over its limit, or over the whole budget, is
-// refused permanently; one for which the budget is exhausted may be retried.
-func (k *callerRequest) readBody(budget *bodybuf.Budget, limit int64, pacer *linkPacer) error {
-	r := k.request
-	if r.ContentLength == 0 {
-		return nil
-	}
-	limits := requestBodyLimits(budget, limit)
-	body, err := budget.Read(pacer.incoming(r.Context(), r.Body, r.ContentLength), r.ContentLength, limits)
-	switch {
-	case err == nil:
-		k.body = body
-		k.held = append(k.held, body)
-		return nil
-	case errors.Is(err, bodybuf.ErrTooLarge):
-		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
-			"the body has more than %d bytes", limits.MaxBytes)
-	case errors.Is(err, bodybuf.ErrNoMemory):
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "body_memory",
-			"the memory for request bodies is exhausted")
-	default:
-		return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "body_cut", "read the request body")
-	}
-}
-
 // releaseBodies returns the memory of the request's body and of the responses to
 // it.
 func (k *callerRequest) releaseBodies() {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -22,7 +22,7 @@
 
 // listenForRelays opens the listener on which other entries send requests that this one
 // relays. It returns nil without an error if the settings name no address for it.
-func (g *Gateway) listenForRelays() (*serving.Server, error) {
+func (g *Gateway) listenForRelays(guard *serving.Guard) (*serving.Server, error) {
 	s := g.options.Settings
 	if !s.Host.Address.IsValid() || s.PeerPort == 0 {
 		return nil, nil
@@ -36,6 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
+	server.Guarded(guard)
 	g.session.setRelayAddress(server.Address())
 	return server, nil
 }
@@ -74,6 +75,7 @@
 		h.Set("Content-Length", strconv.Itoa(res.body.Len()))
 	}
 	c.Response().WriteHeader(res.status)
+	serving.Holds(r.Context(), k.body.Len()+res.body.Len())
 	err = writeBody(c.Response(), res.body, g.pacer.outgoing(r.Context(), res.body.Len()))
 	return errors.Wrap(err, "write the response to the other entry")
 }
@@ -153,7 +155,7 @@
 		}
 	}
 	g.countRelayed(e.Code)
-	g.failureLog.Warn().Str("event", "relay_failed").Str("request_id", k.id).Str("service", k.service).
+	g.failureLog.Warn().Str("event", "relay_failed").Str("request_id", logText(k.id)).Str("service", k.service).
 		Str("verdict", e.Verdict.String()).Str("reason", e.Code).Err(err).Send()
 	h.Set(headerRelayResult, e.Verdict.String()+" "+e.Code)
 	return c.NoContent(status)
--- a/link/conn.go
+++ b/link/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,7 +60,18 @@
 	closeOnce sync.Once
 	err       error
 
-	calls callTable
+	// maxFrame bounds the messages that arrive, in bytes.
+	maxFrame atomic.Uint64
+	calls    callTable
+}
+
+// LimitFrames bounds the messages that arrive from now on, in bytes: longer ones are skipped. 0
+// ends the bound; a message over maxFrameBytes always closes the connection.
+func (c *Conn) LimitFrames(bytes uint64) {
+	if bytes == 0 {
+		bytes = maxFrameBytes
+	}
+	c.maxFrame.Store(bytes)
 }
 
 // Dial opens a connection to the address.
@@ -87,6 +99,7 @@
 // New wraps an open connection and starts the goroutine that writes to it.
 func New(c net.Conn) *Conn {
 	l := &Conn{netConn: c, outgoing: make(chan []byte, sendQueueCapacity), done: make(chan struct{})}
+	l.LimitFrames(0)
 	go l.writeLoop()
 	return l
 }
@@ -205,7 +218,7 @@
 	in := bufio.NewReaderSize(c.netConn, bufferBytes)
 	for {
 		_ = c.netConn.SetReadDeadline(time.Now().Add(idleTimeout))
-		kind, body, err := readFrame(in)
+		kind, body, err := readFrame(in, c.maxFrame.Load())
 		if err != nil {
 			c.closeWithReason(err)
 			return c.err
@@ -222,8 +235,9 @@
 	}
 }
 
-// readFrame reads one frame and returns its kind and body.
-func readFrame(in *bufio.Reader) (Kind, []byte, error) {
+// readFrame reads one frame and returns its kind and body. It returns a ping in place of a
+// frame over the given length.
+func readFrame(in *bufio.Reader, most uint64) (Kind, []byte, error) {
 	size, err := binary.ReadUvarint(in)
 	if err != nil {
 		return 0, nil, err
@@ -231,13 +245,28 @@
 	if size == 0 || size > maxFrameBytes {
 		return 0, nil, errors.Newf("frame of %d bytes, allowed are 1 to %d", size, maxFrameBytes)
 	}
-	body := make([]byte, size)
+	if size > most {
+		_, err := io.CopyN(io.Discard, in, int64(size))
+		return kindPing, nil, err
+	}
+	body := make([]byte, min(size, firstPartBytes))
 	if _, err := io.ReadFull(in, body); err != nil {
 		return 0, nil, err
 	}
+	for uint64(len(body)) < size {
+		read := len(body)
+		body = append(body, make([]byte, min(uint64(read), size-uint64(read)))...)
+		if _, err := io.ReadFull(in, body[read:]); err != nil {
+			return 0, nil, err
+		}
+	}
 	return Kind(body[0]), body[1:], nil
 }
 
+// firstPartBytes is the memory that a frame takes before its first byte. A longer one takes no
+// more than twice what has arrived, whatever length it declares.
+const firstPartBytes = 64 << 10
+
 // SendEncoded queues a message that is already encoded by [Encode], so that it is
 // encoded only once for many receivers.
 func (c *Conn) SendEncoded(kind Kind, body []byte) error { return c.enqueue(encodeFrame(kind, body)) }
--- a/serving/server.go
+++ b/serving/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,8 +23,14 @@
 type Server struct {
 	http               *http.Server
 	listener           net.Listener
+	maxConnections     int
 	keepAlivesDisabled atomic.Bool
 	openConnections    atomic.Int64
+	tls                *tls.Config
+	// guard bounds what callers hold; nil for no bound. done ends it.
+	guard    *Guard
+	done     chan struct{}
+	doneOnce sync.Once
 }
 
 // Option changes how a listener is opened.
@@ -60,7 +67,8 @@
 		return nil, errors.Wrapf(err, "listen on %s", at)
 	}
 	s := &Server{
-		listener: netutil.LimitListener(listener, l.MaxConnections),
+		done:     make(chan struct{}),
+		listener: listener, maxConnections: l.MaxConnections,
 		http: &http.Server{
 			Handler:           e,
 			MaxHeaderBytes:    int(l.MaxHeaderBytes),
@@ -69,12 +77,13 @@
 		},
 	}
 	s.http.ConnState = s.trackConnection
-	e.Pre(s.closeAfterResponse)
+	e.Pre(s.closeAfterResponse, guardServing)
 	return s, nil
 }
 
 // trackConnection counts the open connections.
-func (s *Server) trackConnection(_ net.Conn, state http.ConnState) {
+func (s *Server) trackConnection(c net.Conn, state http.ConnState) {
+	observeState(c, state)
 	switch state {
 	case http.StateNew:
 		s.openConnections.Add(1)
@@ -120,14 +129,23 @@
 // UseTLS makes the server use TLS unless config is nil. It must be called
 // before Serve.
 func (s *Server) UseTLS(config *tls.Config) {
-	if config != nil {
-		s.listener = tls.NewListener(s.listener, config)
-	}
+	s.tls = config
 }
 
 // Serve serves requests until the server shuts down.
 func (s *Server) Serve() error {
-	err := s.http.Serve(s.listener)
+	listener := s.listener
+	if s.guard == nil {
+		listener = netutil.LimitListener(listener, s.maxConnections)
+	} else {
+		go s.guard.run(s.done)
+		listener = &guardedListener{Listener: listener, guard: s.guard}
+	}
+	if s.tls != nil {
+		listener = tls.NewListener(listener, s.tls)
+	}
+	err := s.http.Serve(listener)
+	s.doneOnce.Do(func() { close(s.done) })
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/serving/timeouts.go
+++ b/serving/timeouts.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Timeouts are the timeouts of callers' connections that may change while the
@@ -69,3 +71,12 @@
 	c.deadlineSet = true
 	return c.Conn.SetReadDeadline(time.Now().Add(limit))
 }
+
+// CloseWrite ends what is sent, and leaves what is received open.
+func (c *timedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.New("the connection has no direction of its own")
+	}
+	return half.CloseWrite()
+}
--- a/telemetry/events_test.go
+++ b/telemetry/events_test.go
@@ -21,7 +21,7 @@
 // the events that the processes of a deployment log.
 func TestPageListsEveryEvent(t *testing.T) {
 	inCode := map[string]bool{}
-	for _, folder := range []string{"gateway", "coordinator", "platform", "cmd", "reload", "telemetry"} {
+	for _, folder := range []string{"gateway", "coordinator", "platform", "cmd", "reload", "telemetry", "serving"} {
 		err := filepath.WalkDir(filepath.Join("..", folder), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
