Serve keys only under proof that the configuration is the newest

Where revocation is strict, an entry that was cut off, paused or about to be served requests with keys that had been taken away long ago: nothing told it how old its configuration was.

The leader answers after the first renewal of its lease that begins after the query has arrived, a read barrier, with the version that is applied then; so the reply names whatever any host has acknowledged before. Without one requests with keys get 503, not run, and the entry leaves the rotation. Keys are checked again before each attempt and its first byte, relays refuse what was checked by an older configuration than theirs, and 401 needs a young proof.

--- a/coordinator/accounts.go
+++ b/coordinator/accounts.go
@@ -3,6 +3,10 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"tanagerbarrow/broker"
+	"tanagerbarrow/link"
 	"tanagerbarrow/protocol"
 )
 
@@ -23,6 +27,25 @@
 	}
 }
 
+// receiveAboutAccounts handles the messages of entries about client accounts, and rejects unknown ones.
+func (c *Coordinator) receiveAboutAccounts(l *leader, in *inboundLink, kind link.Kind, body []byte) error {
+	switch kind {
+	case protocol.KindCurrencyQuery:
+		var m protocol.CurrencyQuery
+		if err := link.Decode(body, &m); err != nil {
+			return err
+		}
+		c.currency.add(in, m)
+		return nil
+	case protocol.KindAccountUse:
+		return postMessage(l, body, func(m []broker.AccountShare, now time.Time) {
+			l.broker.AdoptAccountShares(in.hello.Name, m, now)
+		})
+	default:
+		return errors.New("unknown message kind")
+	}
+}
+
 // succession tells how long the last leaders of the group have led. The zero value knows none.
 type succession struct {
 	// term is the newest term of which a leader was seen, and began when it was first seen, or the process
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -84,6 +84,8 @@
 	leader  *leader
 	// succession is used by the goroutine that maintains the lease.
 	succession succession
+	// currency are the entries' queries that wait for the next confirmation of the lease.
+	currency currencyQueries
 	// inbound holds the connections that entries and other control hosts have
 	// opened to this host.
 	inbound map[*inboundLink]bool
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -46,7 +46,7 @@
 		c.stopLeading("new term")
 		l = nil
 	}
-	requestedAt := boottime.Now()
+	requestedAt, queries := boottime.Now(), c.currency.take()
 	ctx, cancel := context.WithTimeout(ctx, leaseDuration)
 	defer cancel()
 	confirm := c.node.HeartbeatReadBarrier
@@ -61,6 +61,7 @@
 	case err != nil:
 	case l != nil:
 		l.extendLease(requestedAt + leaseDuration)
+		c.answerCurrency(queries)
 	case c.node.Status().Term == status.Term:
 		c.startLeading(status.Term, requestedAt+leaseDuration)
 	}
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -214,12 +214,10 @@
 		return postMessage(l, body, func(m broker.Backoff, now time.Time) { l.broker.SetBackoff(name, m, now) })
 	case protocol.KindLeaving:
 		return postMessage(l, body, func(m protocol.Leaving, now time.Time) { l.leave(name, m, now) })
-	case protocol.KindAccountUse:
-		return postMessage(l, body, func(m []broker.AccountShare, now time.Time) { l.broker.AdoptAccountShares(name, m, now) })
 	case protocol.KindSamples:
 		return postMessage(l, body, func(m []broker.Sample, now time.Time) { l.samples(name, m, now) })
 	default:
-		return errors.New("unknown message kind")
+		return c.receiveAboutAccounts(l, in, kind, body)
 	}
 }
 
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagerbarrow/account"
 	"tanagerbarrow/broker"
 	"tanagerbarrow/route"
@@ -34,7 +37,9 @@
 		return nil
 	}
 	h := k.request.Header
-	k.key = presentedKey(h[g.options.Dialect.Key], g.options.Dialect.KeyScheme)
+	if values := h[g.options.Dialect.Key]; len(values) > 0 {
+		k.key = presentedKey(values, g.options.Dialect.KeyScheme)
+	}
 	h.Del(g.options.Dialect.Key)
 	h.Del(g.options.Dialect.ClientAccount)
 	if x.Accounts().Empty() {
@@ -44,6 +49,9 @@
 		k.key, k.route = account.Digest{}, k.route.WithAccount(nil)
 		return nil
 	}
+	if !g.keysProven() {
+		return unproven()
+	}
 	k.account = x.Accounts().ByKey(k.key)
 	if k.account == nil {
 		return g.unknownKey()
@@ -69,10 +77,19 @@
 	return account.DigestOf(strings.TrimSpace(key))
 }
 
+// errUnproven means that the configuration may not be the newest, so that a key that it holds may have been
+// taken away.
+var errUnproven = errors.New("the configuration may not be the newest")
+
+// unproven returns the refusal of a request with a key for that reason.
+func unproven() error {
+	return verdict.Wrap(errUnproven, verdict.NotRun, http.StatusServiceUnavailable, codeKeyUncertain, "check the key")
+}
+
 // unknownKey returns the refusal of a request whose key is in no client account. Only an entry that
 // hears from the broker can say that the key is wrong: to another one it may be too new.
 func (g *Gateway) unknownKey() error {
-	if g.session.inTouch() {
+	if g.session.inTouch() && (!g.proofsNeeded() || g.session.currency.within(g.options.Settings.Bounds.ConfigurationApply)) {
 		return verdict.New(verdict.NotRun, http.StatusUnauthorized, codeUnknownKey, "no client account holds the key")
 	}
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeKeyUncertain,
@@ -85,6 +102,9 @@
 	if k.account == nil {
 		return nil
 	}
+	if !g.keysProven() {
+		return unproven()
+	}
 	if a := g.view.configuration().Accounts().ByKey(k.key); a == nil || a.Name != k.account.Name {
 		return g.unknownKey()
 	}
@@ -110,14 +130,31 @@
 // identifyRelayed reads the name of the client account that another entry has found for a request.
 // It refuses requests with a key: the other entry is of a build that checks none.
 func (g *Gateway) identifyRelayed(k *callerRequest) error {
+	h := k.request.Header
+	version := h.Get(headerRelayVersion)
+	h.Del(headerRelayVersion)
 	if !g.accountsInForce(g.view.configuration()) {
 		return nil
 	}
-	h := k.request.Header
 	if h.Get(g.options.Dialect.Key) != "" {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRelayFailed, "a relayed request has a key")
 	}
-	k.relayedAccount = h.Get(g.options.Dialect.ClientAccount)
+	if k.relayedAccount = h.Get(g.options.Dialect.ClientAccount); k.relayedAccount != "" {
+		if err := g.checkRelayed(k, version); err != nil {
+			return err
+		}
+	}
 	h.Del(g.options.Dialect.ClientAccount)
 	return nil
 }
+
+// checkRelayed returns the refusal of a request with a client account that another entry has identified by the
+// configuration of a version. If this entry has a newer one, the key may be gone.
+func (g *Gateway) checkRelayed(k *callerRequest, version string) error {
+	n, err := strconv.ParseUint(version, 10, 64)
+	if err == nil && n >= g.view.version() && g.keysProven() {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRelayFailed,
+		"the key of client account %q was checked by version %q, and may be gone", k.relayedAccount, version)
+}
--- a/gateway/accountshare.go
+++ b/gateway/accountshare.go
@@ -80,23 +80,37 @@
 	return held
 }
 
-// reportAccountShares tells a broker that has just welcomed this entry which shares it holds.
-func (c *controlConn) reportAccountShares(m protocol.Capabilities) {
-	if held := c.session.accountShares.held(); m.Currency && len(held) > 0 {
+// greetBroker tells a broker that has just welcomed this entry which shares it holds, and has it asked whether
+// the configuration is the newest.
+func (c *controlConn) greetBroker(m protocol.Capabilities) {
+	if !m.Currency {
+		return
+	}
+	if held := c.session.accountShares.held(); len(held) > 0 {
 		_ = c.conn.Send(protocol.KindAccountUse, held)
 	}
+	select {
+	case c.session.brokerWelcomed <- struct{}{}:
+	default:
+	}
 }
 
 // receiveAboutAccounts handles the broker's messages about client accounts, and ignores all others.
 func (c *controlConn) receiveAboutAccounts(kind link.Kind, body []byte) error {
-	if kind != protocol.KindAccountShares {
-		return nil
-	}
-	var shares []broker.AccountShare
-	if err := link.Decode(body, &shares); err != nil {
-		return err
+	switch kind {
+	case protocol.KindAccountShares:
+		var shares []broker.AccountShare
+		if err := link.Decode(body, &shares); err != nil {
+			return err
+		}
+		c.session.accountShares.set(shares, boottime.Now())
+	case protocol.KindCurrency:
+		var m protocol.Currency
+		if err := link.Decode(body, &m); err != nil {
+			return err
+		}
+		c.session.currency.record(m, c.session.view.version())
 	}
-	c.session.accountShares.set(shares, boottime.Now())
 	return nil
 }
 
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -61,6 +61,7 @@
 			err = c.session.view.applyDocument(d)
 		}
 		if err == nil {
+			c.session.currency.configured(c.session.view.version())
 			c.session.log.Info().Str("event", "configuration_applied").Uint64("version", d.Version).Send()
 			c.session.onStateChange()
 		}
@@ -68,7 +69,7 @@
 		var m protocol.Capabilities
 		if err = link.Decode(body, &m); err == nil {
 			c.session.setCapabilities(c.conn, m)
-			c.reportAccountShares(m)
+			c.greetBroker(m)
 		}
 	case protocol.KindView:
 		err = c.handleView(body)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -96,7 +96,11 @@
 	}
 	g.pauses.awaitView(c.Request().Context())
 	g.view.awaitConfiguration(c.Request().Context())
-	if err := g.classify(k); err != nil {
+	err := g.classify(k)
+	if errors.Is(err, errUnproven) && g.session.currency.await(c.Request().Context()) {
+		err = g.classify(k)
+	}
+	if err != nil {
 		return g.writeError(c, k, err, 0)
 	}
 	defer k.releaseBodies()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -221,6 +221,7 @@
 	go g.pauses.run(backgroundCtx)
 	go g.checker.run(backgroundCtx)
 	go g.path.run(backgroundCtx)
+	go g.runCurrency(backgroundCtx)
 	serveErrors := make(chan error, 3)
 	if relayServer != nil {
 		go func() { serveErrors <- relayServer.Serve() }()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -89,6 +89,8 @@
 	details       []broker.Details
 	results       []broker.Result
 	confirmations []protocol.RolloutsConfirmation
+	// other handles all other messages, if it is set.
+	other func(conn *link.Conn, kind link.Kind, body []byte)
 }
 
 // listen opens a listener that is closed at the end of the test.
@@ -173,6 +175,10 @@
 		var r broker.Release
 		_ = link.Decode(body, &r)
 		f.released = append(f.released, r)
+	default:
+		if f.other != nil {
+			f.other(conn, kind, body)
+		}
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,6 +32,9 @@
 	headerRelayStart = "Tanagerbarrow-Relay-Start"
 	// headerRelayGrant says that the broker has granted the server for the request.
 	headerRelayGrant = "Tanagerbarrow-Relay-Grant"
+	// headerRelayVersion is the version of the configuration by which the key of the request's client account
+	// was checked.
+	headerRelayVersion = "Tanagerbarrow-Relay-Version"
 	// headerRelayResult is in each response of a relay: the verdict and, unless the
 	// response is the server's, the code of the error. A response without it comes from
 	// neither.
@@ -87,6 +90,9 @@
 	if a.grantID != 0 {
 		attempt.Header.Set(headerRelayGrant, "1")
 	}
+	if attempt.ClientAccount != "" {
+		attempt.Header.Set(headerRelayVersion, strconv.FormatUint(g.view.version(), 10))
+	}
 	attempt.BeforeBodyEnd, attempt.ExpectServer = nil, ""
 	res, err := g.relayExchanger.Exchange(ctx, &membership.BackendServer{Service: a.server.Service, Address: address}, attempt)
 	if err != nil {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -121,7 +121,7 @@
 	httpResponse, err := g.exchanger.Exchange(ctx, a.server.endpoint, &backend.Attempt{ //nolint:bodyclose // readBuffered closes it
 		Method: k.request.Method, Target: k.request.RequestURI, Host: k.request.Host, Header: k.request.Header,
 		BufferedBody: k.body.Chunks(), PaceBody: g.pacer.outgoing(ctx, k.body.Len()),
-		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, MayStart: func() bool { return g.maySend(a) }, DialContext: usable,
+		RequestID: k.id, Deadline: k.deadline, ExpectServer: a.server.ID, MayStart: func() bool { return g.maySend(a) && (k.relayedAccount == "" || g.keysProven()) }, DialContext: usable,
 		ClientAccount: k.relayedAccount,
 	})
 	res := response{}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -76,6 +76,10 @@
 	relayAddress string
 	// accountShares are what this entry may let through of client accounts without a broker.
 	accountShares *accountShares
+	// currency tells whether the configuration is the newest. brokerWelcomed receives a value after each
+	// connection to a broker that handles queries.
+	currency       *currency
+	brokerWelcomed chan struct{}
 	// path is what the broker knows of the path to the backend servers.
 	path protocol.Path
 }
@@ -85,7 +89,8 @@
 	return &session{
 		settings: s, view: v, log: log, controlHosts: newControlHosts(s.Regions, s.SeedPeers()), lostSince: boottime.Now(),
 		pendingAsks: map[uint64]chan reply{}, heldGrants: map[uint64]string{},
-		accountShares: newAccountShares(s.Bounds.LimitWindow),
+		accountShares: newAccountShares(s.Bounds.LimitWindow), currency: newCurrency(boottime.Now),
+		brokerWelcomed: make(chan struct{}, 1),
 	}
 }
 
