Show client accounts to operators

Nothing told from a complaint of one account where its requests went.

Lines of requests name the account, never a key; entries count requests by account and result for the ten largest and the rest.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,6 +98,8 @@
 	readiness *serving.Readiness
 	// alone chooses servers while there is no broker.
 	alone *aloneChooser
+	// accountMeters counts the requests of client accounts.
+	accountMeters *accountMeters
 	// pauses detects that the process was paused.
 	pauses *pauseDetector
 	log    zerolog.Logger
@@ -131,6 +133,7 @@
 		failureLog:  telemetry.NewRateLimitedLogger(o.Log, "failures", maxFailureLinesPerSecond),
 		placedAlone: o.Metrics.GetOrCreateCounter("tanagerbarrow_placed_alone_total"),
 	}
+	g.accountMeters = newAccountMeters(o.Metrics)
 	g.view = newView(o.Decode, o.Settings.Regions)
 	g.session = newSession(o.Settings, g.view, o.Log)
 	g.session.registerMetrics(o.Metrics)
@@ -171,6 +174,7 @@
 func (g *Gateway) updateReadiness() {
 	if g.view.configuration() != nil {
 		g.readiness.Set(reasonStarting, false)
+		g.accountMeters.retain(g.view.configuration().Accounts())
 	}
 }
 
@@ -279,6 +283,9 @@
 	line = line.Str("event", "request_ended").Str("request_id", logText(k.id)).Str("route", routeName).Str("service", k.service).
 		Uint64("config_version", k.version).Int("status", status).Str("server", k.lastServerID).Int("tries", k.attemptsReached).
 		Dur("took_ms", took).Dur("asked_ms", k.brokerWait).Dur("limit_ms", k.callerTimeout).Uint64("broker_term", g.view.currentTerm())
+	if k.account != nil {
+		line = line.Str("account", k.account.Name)
+	}
 	if k.lastRelay != "" {
 		line = line.Str("relay", k.lastRelay)
 	}
@@ -294,6 +301,7 @@
 		line = line.Str("verdict", failure.Verdict.String()).Str("reason", code).Err(failure)
 	}
 	line.Send()
+	g.accountMeters.count(k.account, requestResult(status, code))
 	g.options.Metrics.GetOrCreateHistogram(
 		fmt.Sprintf("tanagerbarrow_request_seconds{service=%q}", k.service)).Update(took.Seconds())
 	g.options.Metrics.GetOrCreateCounter(
