Show the stage of a roll-out in a request's timeline

explain prints the last stage of the roll-out of the request's service, also one from long before, and the version of a server when it was announced.

--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -37,6 +37,6 @@
 	}
 	s := l.broker.Announce(r, now)
 	l.log.Info().Str("event", "server_announced").Str("server", r.ID).Int64("started", r.Started).
-		Str("service", r.Service).Str("address", r.Address).Bool("cold", now.Before(r.ColdUntil)).Send()
+		Str("service", r.Service).Str("version", r.Version).Str("address", r.Address).Bool("cold", now.Before(r.ColdUntil)).Send()
 	l.sendChanges([]*broker.Server{s}, gone, false, now)
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -38,6 +38,10 @@
 // request.
 var brokerEvents = []string{"broker_started", "broker_stopped"}
 
+// rolloutEvent tells that the roll-out of a service has reached a stage. The last one before the
+// timeline says which version was in use.
+const rolloutEvent = "rollout_stage"
+
 // Line is one line of a log.
 type Line struct {
 	// At is the time at which it was written.
@@ -139,28 +143,34 @@
 
 // Timeline returns the request's lines and the context lines around them, in
 // order of time. Context lines are those of the hosts that logged the request,
-// those about backend servers to which it was sent, and those of brokers. It
-// returns nil if no line concerns the request.
+// those about backend servers to which it was sent, those of brokers, and the stages
+// of its service's roll-out. It returns nil if no line concerns the request.
 func (r *Reader) Timeline() []Line {
 	if len(r.requestLines) == 0 {
 		return nil
 	}
 	slices.SortStableFunc(r.requestLines, func(a, b Line) int { return a.At.Compare(b.At) })
 	from, to := r.requestLines[0].At.Add(-contextBefore), r.requestLines[len(r.requestLines)-1].At.Add(contextAfter)
-	hosts, servers := map[string]bool{}, map[string]bool{}
+	hosts, servers, services := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, l := range r.requestLines {
 		hosts[l.Host] = true
 		if id := l.Fields["server"]; id != "" {
 			servers[id] = true
 		}
+		if service := l.Fields["service"]; service != "" {
+			services[service] = true
+		}
 		if start := l.At.Add(-contextBefore - durationOf(l)); start.Before(from) {
 			from = start
 		}
 	}
 	timeline := slices.Clone(r.requestLines)
+	if stage := r.lastStage(services, from); stage != nil {
+		timeline = append(timeline, *stage)
+	}
 	for _, l := range r.contextLines {
 		inWindow := !l.At.Before(from) && !l.At.After(to)
-		if inWindow && (hosts[l.Host] || servers[l.Fields["server"]] || slices.Contains(brokerEvents, l.Event)) {
+		if inWindow && (hosts[l.Host] || servers[l.Fields["server"]] || slices.Contains(brokerEvents, l.Event) || isStage(l, services)) {
 			timeline = append(timeline, l)
 		}
 	}
@@ -168,6 +178,22 @@
 	return timeline
 }
 
+// isStage reports whether a line is about a stage of the roll-out of one of the services.
+func isStage(l Line, services map[string]bool) bool {
+	return l.Event == rolloutEvent && services[l.Fields["service"]]
+}
+
+// lastStage returns the last line before a time about the roll-out of one of the services, or nil.
+func (r *Reader) lastStage(services map[string]bool, before time.Time) *Line {
+	var last *Line
+	for n, l := range r.contextLines {
+		if isStage(l, services) && l.At.Before(before) && (last == nil || !l.At.Before(last.At)) {
+			last = &r.contextLines[n]
+		}
+	}
+	return last
+}
+
 // durationOf returns the duration that a line reports in took_ms, or 0 if it
 // reports none.
 func durationOf(l Line) time.Duration {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// TestTimelineNamesTheStageOfARollout builds the timeline of a request long after its service's roll-out
+// has reached a stage.
+func TestTimelineNamesTheStageOfARollout(t *testing.T) {
+	r := NewReader("r1")
+	text := `{"host":"core-1","event":"rollout_stage","service":"s","stage":"canary","time":1000}
+{"host":"core-1","event":"rollout_stage","service":"s","stage":"rolled_back","time":2000}
+{"host":"core-1","event":"rollout_stage","service":"other","stage":"canary","time":3000}
+{"host":"core-2","event":"rollout_stage","service":"s","stage":"canary","time":90010}
+{"host":"entry-1","event":"request_ended","request_id":"r1","service":"s","status":200,"took_ms":60,"time":90000}
+`
+	if err := r.Read(strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	var stages []string
+	for _, l := range r.Timeline() {
+		stages = append(stages, l.Fields["stage"])
+	}
+	if got := strings.Join(stages, ","); got != "rolled_back,,canary" {
+		t.Errorf("the timeline has the stages %q", got)
+	}
+}
+
 // TestUnknownRequestHasNoTimeline looks for a request that occurs in no log.
 func TestUnknownRequestHasNoTimeline(t *testing.T) {
 	r := NewReader("r3")
