Find versions that answer a part of the requests slowly

A version that took seven times as long for a third of its requests was promoted: its responses counted as slow from 2.5 times the usual time on, where good versions on new connections and pacing machines have many as well, so that the margins were wide. Slow is now three times the usual, and the margins are narrower. Figures for operators name the quantiles of times.

--- a/rollout/answers.go
+++ b/rollout/answers.go
@@ -10,7 +10,7 @@
 	// slowFactor is the multiple of the baseline's median time on the same route, corrected for
 	// pace and load, from which a response is slow, and slowExtra a time that routes with very
 	// short responses may take beyond it.
-	slowFactor = 2.5
+	slowFactor = 3.0
 	slowExtra  = 30 * time.Millisecond
 	// minTimedAnswers is the number of baseline responses from which a median is used.
 	minTimedAnswers = 10
@@ -46,7 +46,9 @@
 	failed    bool
 	// timed says that slow is known.
 	timed, slow bool
-	loaded      bool
+	// relative is the corrected time, as a multiple of the baseline's median.
+	relative float32
+	loaded   bool
 }
 
 // kind is a way in which responses are bad.
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -12,9 +12,10 @@
 	// failureMargin and slowMargin are by how much the canary's rate of bad responses may exceed
 	// the baseline's: a seventh of the machines that fails half of its requests stays below.
 	failureMargin = 0.08
-	slowMargin    = 0.1
-	// leastDifference is the least further difference that is a reason to roll back.
-	leastDifference = 0.1
+	slowMargin    = 0.06
+	// leastFailures and leastSlow are the least further differences that are a reason to roll back.
+	leastFailures = 0.1
+	leastSlow     = 0.07
 	// rollbackScore is the logarithm of the likelihood ratio from which a version is rolled back:
 	// for one window, a version at the margin passes it with a probability of e^-10.
 	rollbackScore = 10.0
@@ -110,6 +111,7 @@
 		corrected := time.Duration(float64(o.Elapsed) / max(o.Slowdown, 1))
 		if limit, ok := e.SlowAfter(o.Route); ok {
 			a.timed, a.slow = true, corrected > limit
+			a.relative = float32(slowFactor * float64(corrected) / float64(limit))
 		}
 		if !o.Canary {
 			e.times[a.route].add(corrected)
@@ -274,14 +276,14 @@
 // score is the logarithm of the likelihood ratio of the rate that was seen to the baseline's
 // rate plus the margin. Each server contributes at most its part.
 func score(k kind, all tally, servers map[uint32]*tally, baseline tally, perServer float64) float64 {
-	margin := failureMargin
+	margin, least := failureMargin, leastFailures
 	if k == slowness {
-		margin = slowMargin
+		margin, least = slowMargin, leastSlow
 	}
 	b := (float64(baseline.bad) + 0.5) / float64(baseline.n+1)
 	p0 := b + margin + math.Sqrt(b*(1-b)/float64(baseline.n+1))
 	p1 := min(all.rate(), maxRate)
-	if p1 < p0+leastDifference {
+	if p1 < p0+least {
 		return 0
 	}
 	sum := 0.0
@@ -444,17 +446,29 @@
 
 // Summary returns the figures of both versions.
 func (e *Evidence) Summary() string {
-	var c, cSlow, b, bSlow tally
-	for i := range e.canary.answers {
-		a := &e.canary.answers[i]
-		c.add(a.failed)
-		cSlow.add(a.slow)
+	return fmt.Sprintf("%d responses of new servers: %s; old ones: %s", e.canaryTotal, e.canary.summary(), e.baseline.summary())
+}
+
+// summary returns the rates of bad answers, and quantiles of the times as multiples of the
+// baseline's median.
+func (r *ring) summary() string {
+	var failed, slow tally
+	var times []float32
+	for i := range r.answers {
+		a := &r.answers[i]
+		failed.add(a.failed)
+		if a.timed {
+			slow.add(a.slow)
+			times = append(times, a.relative)
+		}
 	}
-	for i := range e.baseline.answers {
-		a := &e.baseline.answers[i]
-		b.add(a.failed)
-		bSlow.add(a.slow)
+	slices.Sort(times)
+	quantile := func(q float64) float32 {
+		if len(times) == 0 {
+			return 0
+		}
+		return times[int(q*float64(len(times)-1))]
 	}
-	return fmt.Sprintf("%d responses of new servers (%.3f failed, %.3f slow), %d of old ones (%.3f, %.3f)", e.canaryTotal,
-		c.rate(), cSlow.rate(), b.n, b.rate(), bSlow.rate())
+	return fmt.Sprintf("%.3f failed, %.3f slow, times %.1f at the median, %.1f at 90%%, %.1f at 97%%", failed.rate(), slow.rate(),
+		quantile(0.5), quantile(0.9), quantile(0.97))
 }
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -11,7 +11,7 @@
 	// earlyShare is the part of canaryShare that may be used before lateFrom. What it leaves is
 	// used step by step until fullFrom, shortly before the switch, when a version that turns bad
 	// late shows. With little traffic it is lowEarlyShare.
-	earlyShare    = 0.5
+	earlyShare    = 0.65
 	lowEarlyShare = 0.35
 	lateFrom      = 0.55
 	fullFrom      = 0.75
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -45,6 +45,7 @@
 	thirtyPercent = fault{fails: 0.3, onRoute: -1}
 	slower        = fault{slowPart: 1, slowFactor: 4, onRoute: -1}
 	halfSlower    = fault{slowPart: 0.5, slowFactor: 4, onRoute: -1}
+	partSlower    = fault{slowPart: 0.3, slowFactor: 7, onRoute: -1}
 	badRoute      = fault{fails: 0.5, onRoute: 2}
 	slowRoute     = fault{slowPart: 1, slowFactor: 4, onRoute: 2}
 	underLoad     = fault{fails: 0.6, onRoute: -1, aboveLoad: 0.6}
@@ -139,7 +140,7 @@
 // the bound, whether they are bad at once or late, everywhere, on one route or under load.
 func TestBadVersionsAreRolledBack(t *testing.T) {
 	for name, f := range map[string]fault{
-		"30% errors": thirtyPercent, "4x slower": slower, "half 4x slower": halfSlower, "one route": badRoute,
+		"30% errors": thirtyPercent, "4x slower": slower, "half 4x slower": halfSlower, "30% 7x slower": partSlower, "one route": badRoute,
 		"slow route": slowRoute, "under load": underLoad, "late": badLate, "slow late": slowLate,
 	} {
 		w := largeWorld()
@@ -184,7 +185,10 @@
 // too few requests.
 func TestLimitsOfLittleTraffic(t *testing.T) {
 	for name, w := range map[string]world{"44/s": mediumWorld(), "20/s": smallWorld(), "1/s": tinyWorld()} {
-		for kind, f := range map[string]fault{"30% errors": thirtyPercent, "half 4x slower": halfSlower, "one route": badRoute, "under load": underLoad, "late": badLate} {
+		for kind, f := range map[string]fault{
+			"30% errors": thirtyPercent, "half 4x slower": halfSlower, "30% 7x slower": partSlower, "one route": badRoute,
+			"under load": underLoad, "late": badLate,
+		} {
 			w.fault = f
 			check(t, name+", "+kind, w, 1000, 250)
 		}
--- a/rollout/sim_test.go
+++ b/rollout/sim_test.go
@@ -47,6 +47,7 @@
 	grants     int
 	badMachine bool
 	loadedAt   time.Duration
+	failedAt   time.Duration
 }
 
 // simEnd is the end of a request.
@@ -106,7 +107,7 @@
 func play(w world, seed uint64) outcome {
 	p := &replay{world: w, random: rand.New(rand.NewPCG(seed, 3)), stage: declare.RolloutCanary}
 	for n := range w.old + w.fresh {
-		s := &simServer{id: uint32(n), canary: n >= w.old, loadedAt: -time.Hour}
+		s := &simServer{id: uint32(n), canary: n >= w.old, loadedAt: -time.Hour, failedAt: -time.Hour}
 		p.servers = append(p.servers, s)
 	}
 	for _, n := range p.random.Perm(w.old)[:int(w.badOld*float64(w.old))] {
@@ -198,6 +199,10 @@
 			rank = float64(s.grants)
 			if grouped {
 				rank = -float64(s.running)
+				if at-s.failedAt < 2*time.Second {
+					// The broker avoids servers that have just failed.
+					rank += float64(p.slots)
+				}
 			}
 		}
 		if rank += p.random.Float64() * 0.9; rank < bestRank {
@@ -257,6 +262,9 @@
 		if e.server.canary && e.failed {
 			p.out.badAnswers++
 		}
+		if e.failed {
+			e.server.failedAt = e.at
+		}
 		if !*e.overdue || e.failed {
 			p.record(e, e.at, e.failed)
 		}
