--- a/account/bounds.go
+++ b/account/bounds.go
@@ -9,13 +9,13 @@
 // within its bound in every window with one change of the broker.
 const (
 	// sharedPart is for entries without a broker.
-	sharedPart = 0.6
+	sharedPart = 0.8
 	// handoverPart is what a new broker begins with, since its predecessor may have let everything through
 	// that the limit allows.
-	handoverPart = 0.2
+	handoverPart = 0.1
 	// tolerancePart is added to the burst at the broker: requests that callers send within the limit arrive in
 	// another rhythm, and tokens that are returned were missing for a moment.
-	tolerancePart = 0.2
+	tolerancePart = 0.1
 )
 
 // Bounds say by how much the requests of an account may exceed its limit.
--- a/broker/account.go
+++ b/broker/account.go
@@ -8,7 +8,7 @@
 
 // tokenReturnTime is the time after a grant within which its token can be returned: the tokens that are
 // missing meanwhile could otherwise add up to more than the limit.
-const tokenReturnTime = 100 * time.Millisecond
+const tokenReturnTime = 50 * time.Millisecond
 
 // accountMeter keeps the requests of one client account within its limit.
 type accountMeter struct {
--- a/broker/account_test.go
+++ b/broker/account_test.go
@@ -130,7 +130,7 @@
 
 // TestNewBrokerBeginsWithLittle checks that a broker that takes over lets no second burst through.
 func TestNewBrokerBeginsWithLittle(t *testing.T) {
-	for predecessorIsNew, want := range map[bool]int{false: 4, true: 0} {
+	for predecessorIsNew, want := range map[bool]int{false: 2, true: 0} {
 		w := newTestBroker(t)
 		w.Broker = New(Options{
 			Regions: map[string]string{"a": "west"}, Random: w.options.Random, PredecessorIsNew: predecessorIsNew,
