--- a/bench/soak/server_test.go
+++ b/bench/soak/server_test.go
@@ -153,6 +153,9 @@
 		s.harness.fail("DRAIN: request %s reached %s %s after its leaving was acknowledged", id, s.id, time.Since(time.Unix(0, left)))
 	}
 	s.harness.checkEvacuation(s.zone, id)
+	if keyOf(r.URL.Path) != "" {
+		s.harness.accounts.arrive(s.harness, r, s.zone)
+	}
 	select {
 	case <-time.After(time.Duration(5+rand.IntN(60)) * time.Millisecond):
 	case <-r.Context().Done():
