End roll-outs that can't go on, and switch none unseen

A service whose entries take no part in a canary was switched without a response of the new version; a version without usable servers stayed in its canary for ever, so that every later order was refused; two failures on a rare route put a good version in doubt. Now only a service with little traffic, of which the new version got its part, is switched with few responses; after twice the time of the order a roll-out ends either way; a switched service without usable new servers for 2 s is rolled back; windows below four responses show nothing.

--- a/broker/rollout_test.go
+++ b/broker/rollout_test.go
@@ -30,6 +30,8 @@
 	granted map[bool]int
 	moves   []declare.RolloutMove
 	began   time.Time
+	// noRoutes makes entries tell no routes, as those of earlier builds.
+	noRoutes bool
 }
 
 type runningRequest struct {
@@ -118,7 +120,11 @@
 	nextTick := r.now
 	for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(gap) {
 		r.finish()
-		r.ask(Details{Route: fmt.Sprint("route-", r.seq%3)}, nil)
+		details := Details{Route: fmt.Sprint("route-", r.seq%3)}
+		if r.noRoutes {
+			details.Route = ""
+		}
+		r.ask(details, nil)
 		if !r.now.Before(nextTick) {
 			nextTick = r.now.Add(20 * time.Millisecond)
 			r.b.Tick(r.now)
@@ -312,3 +318,45 @@
 		t.Errorf("granted %v, %v with a grant only", r.granted, r.b.GrantOnlyServers())
 	}
 }
+
+// TestRolloutsEnd ends roll-outs that can't go on: of a version without servers, of one that gets
+// no evidence, and of one whose servers are lost after the switch.
+func TestRolloutsEnd(t *testing.T) {
+	r := newRolloutBench(t, 20, 0)
+	r.run(200, 2*rolloutDuration-time.Second)
+	if r.stage != declare.RolloutCanary {
+		t.Fatalf("the moves are %+v", r.moves)
+	}
+	r.run(200, 2*time.Second)
+	if r.stage != declare.RolloutRolledBack {
+		t.Errorf("the stage without new servers is %s", r.stage)
+	}
+
+	r = newRolloutBench(t, 20, 20)
+	r.noRoutes = true
+	r.run(200, 2*rolloutDuration-time.Second)
+	if r.stage != declare.RolloutCanary {
+		t.Fatalf("the moves are %+v", r.moves)
+	}
+	r.run(200, 2*time.Second)
+	if r.stage != declare.RolloutRolledBack || r.granted[true] > 0 {
+		t.Errorf("the stage without evidence is %s, %d requests reached new servers", r.stage, r.granted[true])
+	}
+
+	r = newRolloutBench(t, 20, 20)
+	for r.stage == declare.RolloutCanary {
+		r.run(200, 100*time.Millisecond)
+	}
+	for id, s := range r.b.byID {
+		if isNew(s) {
+			r.b.RemoveServer(id)
+		}
+	}
+	r.run(200, 3*time.Second)
+	if r.stage != declare.RolloutRolledBack {
+		t.Errorf("the stage without new servers after the switch is %s", r.stage)
+	}
+	if s := r.ask(Details{Route: "a"}, nil); s == nil || isNew(s) {
+		t.Errorf("server %+v serves", s)
+	}
+}
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -18,6 +18,14 @@
 	// the full load only.
 	observedServiceTimes = 3
 	leastObserved        = 500 * time.Millisecond
+	// lostVersionDelay is how long a switched service may be without a usable new server until
+	// it is switched back.
+	lostVersionDelay = 2 * time.Second
+	// overdueAnswers is the number of responses with which a version is judged after twice the
+	// time that the operator allowed, and overdueRequests the number of requests of the service
+	// from which it should have got more.
+	overdueAnswers  = 10
+	overdueRequests = 200
 )
 
 // Conditions are what the decision on the next stage depends on besides the evidence.
@@ -41,6 +49,8 @@
 	Plan     Plan
 	Exposure *Exposure
 	Evidence *Evidence
+	// lostSince is since when a switched service has had no usable new server.
+	lostSince time.Time
 }
 
 // Next returns the stage to which the roll-out is to move now and the reason; an empty stage and
@@ -56,10 +66,33 @@
 	if now.Before(r.Plan.SwitchAt(c.ServiceTime)) {
 		return "", "the canary gathers evidence"
 	}
-	if reason := r.lacksEvidence(now); reason != "" {
-		return "", reason
+	if stage, reason := r.unfit(c, now); reason != "" {
+		return stage, reason
 	}
+	return declare.RolloutSwitching, r.room(c)
+}
+
+// room returns the slots that a switch needs and finds, in words.
+func (r *Rollout) room(c Conditions) string {
+	return fmt.Sprintf("%d slots of new servers for %.0f requests at the peak", c.NewSlots, c.PeakLoad)
+}
+
+// unfit returns why the service can't be switched now, and the stage that follows if it won't be
+// any more; no reason if it can be switched. A version that could break the bound isn't switched
+// to unseen: it is completed late instead. After twice the time that the operator allowed, the
+// roll-out ends either way.
+func (r *Rollout) unfit(c Conditions, now time.Time) (stage declare.RolloutStage, reason string) {
 	last := !now.Before(r.Plan.LatestSwitch(c.ServiceTime))
+	longOverdue := now.Sub(r.Plan.Due) >= r.Plan.duration()
+	if longOverdue {
+		stage = declare.RolloutRolledBack
+	}
+	if n := r.Evidence.Answers(); n < EnoughAnswers && !r.Exposure.FitsBlindly(now) {
+		all, _ := r.Exposure.Counts()
+		if !longOverdue || n < overdueAnswers && all >= overdueRequests {
+			return stage, fmt.Sprintf("%d of %d responses that a verdict needs", n, EnoughAnswers)
+		}
+	}
 	if doubt, _ := r.Evidence.Doubtful(c.NewServers, now); doubt != "" {
 		if last {
 			return declare.RolloutRolledBack, "in doubt at the end: " + doubt
@@ -70,26 +103,30 @@
 	if last {
 		wanted = leastSwitchRoom * c.PeakLoad
 	}
-	room := fmt.Sprintf("%d slots of new servers for %.0f requests at the peak", c.NewSlots, c.PeakLoad)
 	if c.NewSlots == 0 || float64(c.NewSlots) < wanted {
-		return "", "the new servers have too little room: " + room
+		return stage, "the new servers have too little room: " + r.room(c)
 	}
-	return declare.RolloutSwitching, room
+	return "", ""
 }
 
-// lacksEvidence returns why the new version can't be judged yet; empty if it can. A version
-// that could break the bound isn't switched to unseen: it is completed late instead. After twice
-// the time that the operator allowed, a service has so few requests that they show nothing.
-func (r *Rollout) lacksEvidence(now time.Time) string {
-	longOverdue := now.Sub(r.Plan.Due) >= r.Plan.duration()
-	if n := r.Evidence.Answers(); n < EnoughAnswers && !r.Exposure.FitsBlindly(now) && !longOverdue {
-		return fmt.Sprintf("%d of %d responses that a verdict needs", n, EnoughAnswers)
+// lost reports whether a switched service has had no usable new server for too long.
+func (r *Rollout) lost(c Conditions, now time.Time) bool {
+	switch {
+	case c.NewServers > 0:
+		r.lostSince = time.Time{}
+	case r.lostSince.IsZero():
+		r.lostSince = now
+	default:
+		return now.Sub(r.lostSince) >= lostVersionDelay
 	}
-	return ""
+	return false
 }
 
 // completion returns whether old servers have finished.
 func (r *Rollout) completion(c Conditions, now time.Time) (stage declare.RolloutStage, reason string) {
+	if r.lost(c, now) {
+		return declare.RolloutRolledBack, "no usable server of the new version is left"
+	}
 	reason = fmt.Sprintf("%d requests left on old servers", c.LeftOnOld)
 	observe := max(leastObserved, observedServiceTimes*c.ServiceTime)
 	last := !now.Before(r.Plan.CompleteBy())
@@ -98,7 +135,7 @@
 		return declare.RolloutRolledBack, "in doubt after the switch: " + doubt
 	case doubt != "":
 		return "", "in doubt: " + doubt
-	case !last && (c.LeftOnOld > 0 || now.Sub(c.SwitchedAt) < observe):
+	case c.NewServers == 0 || !last && (c.LeftOnOld > 0 || now.Sub(c.SwitchedAt) < observe):
 		return "", reason
 	}
 	return declare.RolloutCompleted, reason
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -222,7 +222,7 @@
 		}
 		t.add(bad)
 		all.add(bad)
-		if all.n < window && n < len(answers)-1 {
+		if all.n < window && n < len(answers)-1 || all.n < firstWindow {
 			continue
 		}
 		window *= 2
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -35,7 +35,9 @@
 	lowTrafficSlack    = 0.7
 	// blindSlack is the part of the slack that may be counted on when a service is switched with
 	// little evidence, and blindGrowth by how much its requests may increase meanwhile.
-	blindSlack  = 0.9
+	blindSlack = 0.9
+	// blindUse is the part of what it might have got that a version must have got by then.
+	blindUse    = 0.3
 	blindGrowth = 1.5
 	// lowTrafficSaved is the number of requests that are saved for the next group then.
 	lowTrafficSaved = 6
@@ -165,12 +167,15 @@
 }
 
 // FitsBlindly reports whether the new version would stay within the bound if it got all further
-// requests until the due time, as it may in a service with very little traffic.
+// requests until the due time, as it may in a service with very little traffic. It may not
+// unless it has got its part so far: entries of an earlier build take no part in a canary.
 func (x *Exposure) FitsBlindly(now time.Time) bool {
 	elapsed := now.Sub(x.since).Seconds()
-	if elapsed < 1 || !x.complete {
+	if elapsed < rateKnownAfter.Seconds() || !x.complete || !x.lowTraffic(now) {
 		return false
 	}
+	offered := min(x.allowance(now), maxDrawnShare*float64(x.all))
 	rest := max(0, x.plan.Due.Sub(now).Seconds()) * float64(x.all) / elapsed
-	return float64(x.canary)+blindGrowth*rest <= blindSlack*float64(x.bounds.Slack)+x.bounds.Share*float64(x.all)
+	return float64(x.canary) >= blindUse*offered &&
+		float64(x.canary)+blindGrowth*rest <= blindSlack*float64(x.bounds.Slack)+x.bounds.Share*float64(x.all)
 }
