--- a/coordinator/rolloutorder_test.go
+++ b/coordinator/rolloutorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 
 	"tanagerbarrow/declare"
+	"tanagerbarrow/link"
+	"tanagerbarrow/protocol"
 )
 
 // orderRollout sends an order for a roll-out to a host once.
@@ -235,3 +238,51 @@
 		cancel()
 	}
 }
+
+// TestOrderResultsKeepTheirMeaning passes each outcome of an order from one host to another.
+func TestOrderResultsKeepTheirMeaning(t *testing.T) {
+	if err := orderError(orderResult(nil)); err != nil {
+		t.Errorf("an executed order: %v", err)
+	}
+	for _, err := range orderErrors {
+		if got := orderError(orderResult(errors.Wrap(err, "x"))); !errors.Is(got, err) {
+			t.Errorf("%v becomes %v", err, got)
+		}
+	}
+	for _, r := range []protocol.OrderResult{orderResult(errors.New("no quorum")), {Outcome: 200}} {
+		got := orderError(r)
+		if got == nil {
+			t.Errorf("%+v is taken as executed", r)
+		}
+		for _, err := range orderErrors {
+			if errors.Is(got, err) {
+				t.Errorf("%+v becomes %v", r, got)
+			}
+		}
+	}
+}
+
+// TestLeaderOfAnEarlierBuildRejectsOrders passes an order to a host that doesn't know the call: it fails, and
+// is neither repeated nor taken as refused.
+func TestLeaderOfAnEarlierBuildRejectsOrders(t *testing.T) {
+	client, server := net.Pipe()
+	asked, earlier := link.New(client), link.New(server)
+	t.Cleanup(func() { asked.Close(); earlier.Close() })
+	go func() { _ = asked.Run(func(link.Kind, []byte) {}, nil) }()
+	calls := 0
+	go func() {
+		_ = earlier.Run(func(link.Kind, []byte) {}, func(kind link.Kind, _ []byte) (any, error) {
+			calls++
+			return nil, errors.Newf("call kind %d is unknown", kind)
+		})
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	err := repeatUntilLeading(ctx, func() error {
+		var result protocol.OrderResult
+		return asked.Call(ctx, protocol.KindRolloutOrderCall, protocol.RolloutOrder{Service: "s", TargetVersion: "v2"}, &result)
+	})
+	if !errors.Is(err, link.ErrRejected) || calls != 1 || orderResult(err).Outcome != protocol.OrderFailed {
+		t.Errorf("%d calls: %v", calls, err)
+	}
+}
