Order and admit asks by what their callers can still get

A service that was short served whoever came: an account at seven times its usual took its neighbours' slots, callers that repeated refused requests at once drew a new place each time, urgent requests that exceeded the slots alone shut out all others, and most refusals came after the whole wait, because the estimate counted servers outside of the home regions and slots that are spared.

Asks now go first by a least share of each priority, priority, objective, the fair share of the client account (start-time fair queuing, weighted by the declared limits), and return as told. The broker knows a request that comes back by its content, unless several requests have the same. One that comes back early gets no place in the queue. Admission counts the servers of the home regions and the measured drain of the queue, refuses asks that are displaced at once, and tells each refused caller a slot of its own. Metrics name the rule that put asks ahead.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -59,6 +59,9 @@
 	grants        map[uint64]*grant
 	crashSuspects map[uint64]*crashSuspect
 	delays        *delays
+	// meanAccountRate is the mean request limit of the client accounts that have one, in
+	// requests per second; 0 if there is none.
+	meanAccountRate float64
 	// adoptedLimits holds, by server identifier, the limits of servers without a record.
 	adoptedLimits map[string]adoptedLimit
 	// left holds the starts of servers that have left in this broker's term.
@@ -136,6 +139,7 @@
 	}
 	b.configureAccounts(x.Configuration().ClientAccounts, now)
 	b.index, b.zonesOut = x, zonesOut
+	b.meanAccountRate = meanRate(x.Configuration().ClientAccounts)
 	b.serveQueues(now)
 }
 
@@ -289,6 +293,8 @@
 	for _, p := range b.pools {
 		p.firstAttempts.count(now, b.options.RetryWindow)
 		p.grantedRetries.count(now, b.options.RetryWindow)
+		p.returns.expire(now)
+		b.measureDrain(p, now)
 	}
 	b.expireCrashSuspects(now)
 	b.expireAdoptedLimits(now)
--- /dev/null
+++ b/broker/fair_test.go
@@ -0,0 +1,130 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestHotAccountsCostThemselves replays a load that the machines at their usual pace carry alone, by
+// 20 client accounts, of which one or three send seven times their usual for five
+// seconds. The others must be served in time as if nothing had happened, and the hot ones must get
+// what is left.
+func TestHotAccountsCostThemselves(t *testing.T) {
+	for _, hot := range []int{1, 3} {
+		l := stock(300, 4)
+		l.accounts, l.hot, l.hotFactor, l.burstFrom, l.burstTo, l.length = 20, hot, 7, 3*time.Second, 8*time.Second, 10*time.Second
+		r := newSimulation(l).run()
+		neighbours, all := &tally{}, &tally{}
+		for account, a := range r.byAccount {
+			all.requests, all.served = all.requests+a.requests, all.served+a.served
+			if account > hot {
+				neighbours.requests, neighbours.inTime = neighbours.requests+a.requests, neighbours.inTime+a.inTime
+			}
+			if a.servedShare() < leastServedShare*r.byAccount[hot+1].servedShare() && account > hot {
+				t.Errorf("%d hot: account %d got %.3f", hot, account, a.servedShare())
+			}
+		}
+		if neighbours.inTimeShare() < inTimeUnderLoad {
+			t.Errorf("%d hot: %.3f of the neighbours' requests were in time", hot, neighbours.inTimeShare())
+		}
+	}
+}
+
+// TestAbusiveRetriesGainNothing replays one and a half times the capacity with a third of callers
+// that repeat refused requests at once and five times. Callers that come back when they are told
+// must be in time as often as those.
+func TestAbusiveRetriesGainNothing(t *testing.T) {
+	for seed := range uint64(2) {
+		l := stock(560, seed)
+		l.abusers, l.length = 0.3, 10*time.Second
+		r := newSimulation(l).run()
+		patient, abusive := r.patience[false], r.patience[true]
+		if patient.inTimeShare() < abusive.inTimeShare()-0.03 {
+			t.Errorf("seed %d: %.3f of the patient callers' requests were in time, %.3f of the abusive ones'", seed, patient.inTimeShare(), abusive.inTimeShare())
+		}
+	}
+}
+
+// TestEqualRequestsAreNotReturns lets two callers ask for the same content while every slot is in
+// use. The second must not be taken for the first one, who was refused, come back too early.
+func TestEqualRequestsAreNotReturns(t *testing.T) {
+	var r returns
+	ask := func() *pendingAsk { return &pendingAsk{ask: Ask{Fingerprint: 7}} }
+	first, second, third := ask(), ask(), ask()
+	if r.take(first, start) != nil || r.take(second, start) != nil {
+		t.Fatal("a request that was not refused has returned")
+	}
+	r.remember(first, time.Second, start)
+	if r.take(third, start.Add(10*time.Millisecond)) != nil {
+		t.Error("a new request counts as returned")
+	}
+	alone := &pendingAsk{ask: Ask{Fingerprint: 8}}
+	r.take(alone, start)
+	r.remember(alone, time.Second, start)
+	if x := r.take(alone, start.Add(time.Second)); x == nil || !x.promisedAt.Equal(start.Add(time.Second)) {
+		t.Errorf("a caller that comes back is %v", x)
+	}
+	r.expire(start.Add(time.Minute))
+	if len(r.contents) != 0 {
+		t.Errorf("%d contents are remembered", len(r.contents))
+	}
+}
+
+// TestUrgentBurstStarvesNobody replays a burst of urgent requests that exceed the slots alone. The
+// others must still be served half as often as all, less the requests that are on their way while
+// the counts change.
+func TestUrgentBurstStarvesNobody(t *testing.T) {
+	l := stock(600, 1)
+	l.urgent, l.length = 0.9, 10*time.Second
+	r := newSimulation(l).run()
+	urgent, other := r.byPriority[0], r.byPriority[2]
+	all := float64(urgent.served+other.served) / float64(r.requests)
+	if other.servedShare() < 0.9*leastServedShare*all {
+		t.Errorf("%.3f of the less urgent requests were served, %.3f of all", other.servedShare(), all)
+	}
+}
+
+// TestRefusalsAreEarly replays what a service gets at twice the capacity of its home regions, with
+// a fifth of urgent requests that go before others, and at 60 in 100 of its servers: asks that can't
+// be served must be refused at once, not when they have waited.
+func TestRefusalsAreEarly(t *testing.T) {
+	homes := stock(500, 1)
+	homes.regions, homes.entries, homes.homes, homes.urgent = 3, 18, []string{"r0", "r1"}, 0.2
+	fewer := stock(440, 1)
+	fewer.servers, fewer.urgent = fewer.servers*6/10, 0.2
+	for name, l := range map[string]load{"home regions": homes, "60 in 100": fewer} {
+		l.length = 10 * time.Second
+		r := newSimulation(l).run()
+		if r.lateRefusals > r.requests/10 {
+			t.Errorf("%s: %d of %d requests were refused after waiting; %s", name, r.lateRefusals, r.requests, r)
+		}
+	}
+}
+
+// TestFairSharesNeverStarve lets accounts of any weights send and be refused in any order: an
+// account that asks must get a tag at most one of its requests behind virtual time, unless it
+// has itself charged more.
+func TestFairSharesNeverStarve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f fairShares
+		weights := map[string]float64{"a": 1, "b": 3, "c": 0.5}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			account := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
+			tag := f.tag(account)
+			f.charge(account, tag, weights[account])
+			switch {
+			case rapid.Bool().Draw(t, "granted"):
+				f.granted(tag)
+			default:
+				f.giveBack(account, weights[account])
+			}
+		}
+		for account, weight := range weights {
+			if lead := f.tag(account) - f.virtualTime; lead < 0 || lead > 1/weight+1e-9 {
+				t.Fatalf("account %s stands %.2f behind virtual time", account, lead)
+			}
+		}
+	})
+}
--- a/broker/message.go
+++ b/broker/message.go
@@ -102,6 +102,12 @@
 	ReasonRetryBudget Reason = "retry_budget"
 	// ReasonPoison means that equal requests have crashed backend servers.
 	ReasonPoison Reason = "crashes_servers"
+	// ReasonDisplaced means that an ask of higher rank has come, and that the wait for a slot would
+	// be too long behind it.
+	ReasonDisplaced Reason = "displaced"
+	// ReasonEarlyReturn means that a request was refused before and has come back earlier than its
+	// caller was told.
+	ReasonEarlyReturn Reason = "early_return"
 	// ReasonQueueTimeout means that no slot became free in time.
 	ReasonQueueTimeout Reason = "waited"
 	// ReasonNoRelay means that the entry reaches no backend server, and that no other
@@ -223,6 +229,8 @@
 	Server *Server
 	// Relay is the name of the entry that relays the request; empty if there is none.
 	Relay string
+	// AheadBy is the rule by which the granted ask went before another one; empty for none.
+	AheadBy OrderRule
 }
 
 // millis converts a number of milliseconds to a duration.
--- a/broker/place.go
+++ b/broker/place.go
@@ -251,6 +251,7 @@
 	var relay *entry
 	if w.entry.pathLost {
 		if relay = b.relayFor(w, s, now); relay == nil {
+			p.discard(w)
 			b.refuse(p, w.entry, w.ask.Seq, ReasonNoRelay, now)
 			return
 		}
@@ -263,6 +264,12 @@
 	}
 	g.takeToken(w, now)
 	b.grants[g.id] = g
+	if !w.charged {
+		p.shares.charge(w.details.ClientAccount, w.startTag, w.weight)
+	}
+	p.shares.granted(w.startTag)
+	p.served.record(w.ask.Priority, true, now)
+	p.drain.current++
 	w.entry.grantIDs[g.seq] = g.id
 	s.activeGrants++
 	s.everGranted = true
@@ -274,7 +281,7 @@
 	if w.ask.Retry {
 		p.grantedRetries.add(now)
 	}
-	o := Output{Entry: w.entry.name, Server: s, Grant: &Grant{Seq: g.seq, ID: g.id, Server: s.Number}}
+	o := Output{Entry: w.entry.name, Server: s, AheadBy: w.aheadBy, Grant: &Grant{Seq: g.seq, ID: g.id, Server: s.Number}}
 	if idle := g.sender().idleConnections[s.Number]; idle != nil && idle.count > 0 {
 		idle.count--
 	}
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -15,26 +15,15 @@
 	serviceTimeWeight = 0.03
 	// meanPaceWeight is the weight of one more reported pace in the mean pace.
 	meanPaceWeight = 0.01
-	// objectiveWaitShare is the part of the remaining latency objective that a
-	// request may wait: a longer wait makes all requests of an overload late.
-	objectiveWaitShare = 0.25
-	// deadlineWaitShare is the part of the remaining deadline that any request may
-	// wait, also one that can no longer meet its objective.
-	deadlineWaitShare = 0.05
 	// waitedTimeWeight weighs the time that an ask has waited against the cost of
 	// a server.
 	waitedTimeWeight = 2
-	// maxQueueLength bounds the asks that wait for one service.
-	maxQueueLength = 4096
 	// adoptedGrantLifetime bounds how long a grant of another broker stays in use.
 	adoptedGrantLifetime = 5 * time.Second
 	// disconnectedGrantLifetime is how long the grants of a disconnected entry
 	// stay in use: within that time it reconnects, or its requests have ended with
 	// it.
 	disconnectedGrantLifetime = 1500 * time.Millisecond
-	// maxExpectedDelay bounds the expected time until an ask is assigned; servers with a
-	// request limit of zero would make it infinite.
-	maxExpectedDelay = 10 * time.Second
 	// retryBudgetShare is the part of the retry budget that the broker hands out.
 	// The rest keeps requests that are in transit from exceeding the budget.
 	retryBudgetShare = 0.7
@@ -54,6 +43,13 @@
 	// firstAttempts and grantedRetries count the asks for first attempts and the
 	// retries that were granted within the window of the retry budget.
 	firstAttempts, grantedRetries slidingWindow
+	// shares, served and returns decide which ask goes first.
+	shares  fairShares
+	served  servedCounts
+	returns returns
+	// lastReturn is the latest time for which a refused caller was told that a slot is free.
+	lastReturn time.Time
+	drain      drain
 }
 
 // pendingAsk is an ask that has been neither granted nor refused.
@@ -69,6 +65,22 @@
 	// missesObjective says that the request can no longer receive its response
 	// within its latency objective.
 	missesObjective bool
+	// firstAt is when the caller's first attempt arrived, as far as the broker knows, and
+	// objectiveAt when its response must arrive to meet the objective.
+	firstAt, objectiveAt time.Time
+	// returning says that the request was refused and has come back at the time it was told, and
+	// starved that those of its priority are served too rarely.
+	returning, starved bool
+	// aheadBy is the rule by which the ask went before another one when it arrived; empty for
+	// none.
+	aheadBy OrderRule
+	// promisedAt is the time at which the caller was told to come back, if it has come back
+	// earlier; zero otherwise.
+	promisedAt time.Time
+	// startTag and weight are the ask's place in the fair shares and its account's weight there,
+	// and charged says that the account has been charged for it.
+	startTag, weight float64
+	charged          bool
 	// canary says that a server of a new version is sought for the ask.
 	canary bool
 }
@@ -92,24 +104,7 @@
 
 // removeAsks removes the waiting asks of an entry.
 func (p *pool) removeAsks(e *entry) {
-	p.queue = slices.DeleteFunc(p.queue, func(w *pendingAsk) bool { return w.entry == e })
-}
-
-// slotUsage returns the number of slots of the usable servers that are not cold
-// and whose zone is in service, how many of these slots are in use, and how many
-// requests these servers can run at a time.
-func (p *pool) slotUsage(b *Broker, now time.Time) (all, busy int, capacity float64) {
-	for _, s := range p.servers {
-		if s.usable(now) && !b.zonesOut[s.Record.AvailabilityZone] && !s.cold(now) && b.versionServes(s) {
-			all += s.Record.Slots
-			busy += s.activeGrants
-			capacity += s.capacity(p.serviceTime)
-		}
-	}
-	if all == 0 {
-		capacity = 1
-	}
-	return all, busy, capacity
+	p.dropAsks(func(w *pendingAsk) bool { return w.entry == e })
 }
 
 // Ask processes an ask without details.
@@ -136,7 +131,7 @@
 		b.refuse(p, e, a.Seq, ReasonRetryBudget, now)
 		return
 	}
-	w := newPendingAsk(p, e, d, now)
+	w := b.newPendingAsk(p, e, d, now)
 	w.meter = b.meterOf(d)
 	if !b.canBeSent(w, now) {
 		b.refuse(p, e, a.Seq, ReasonNoRelay, now)
@@ -151,76 +146,18 @@
 	if len(p.queue) == 0 && b.tryGrant(p, b.serversWithFreeSlot(p, now), w, now) {
 		return
 	}
+	if b.refuseEarlyReturn(p, w, now) {
+		return
+	}
 	if reason, refused := b.cannotBeServed(p, w, now); refused {
-		b.refuse(p, e, a.Seq, reason, now)
+		b.refuseAsk(p, w, reason, now)
 		return
 	}
-	p.enqueue(w)
+	at := p.enqueue(w)
+	b.refuseDisplaced(p, at+1, now)
 	b.serveQueue(p.name, now)
 }
 
-// newPendingAsk calculates how long an ask may wait.
-func newPendingAsk(p *pool, e *entry, d DetailedAsk, now time.Time) *pendingAsk {
-	a := d.Ask
-	w := &pendingAsk{ask: a, details: d.Details, entry: e, arrivedAt: now}
-	objective := millis(a.ObjectiveMillis)
-	w.missesObjective = objective < p.serviceTime
-	wait := time.Duration(float64(objective) * objectiveWaitShare)
-	if late := time.Duration(float64(millis(a.DeadlineMillis)) * deadlineWaitShare); wait < late {
-		wait = late
-	}
-	w.waitUntil = now.Add(wait)
-	return w
-}
-
-// enqueue inserts an ask behind those of higher or equal rank.
-func (p *pool) enqueue(w *pendingAsk) {
-	at := len(p.queue)
-	for at > 0 && w.goesBefore(p.queue[at-1]) {
-		at--
-	}
-	p.queue = slices.Insert(p.queue, at, w)
-}
-
-// goesBefore orders asks by priority and, within a priority, puts those first
-// that can meet their objective. Asks of equal rank keep their order of
-// arrival.
-func (w *pendingAsk) goesBefore(other *pendingAsk) bool {
-	if w.ask.Priority != other.ask.Priority {
-		return w.ask.Priority < other.ask.Priority
-	}
-	return !w.missesObjective && other.missesObjective
-}
-
-// cannotBeServed reports whether an arriving ask can't be served in time,
-// because the asks before it need longer than it may wait, and the reason for
-// its refusal. Before ServersKnownFrom it reports so only if the queue is full:
-// after a power loss, a new broker receives the records of its servers one after
-// the other while the entries already forward all requests that they hold.
-func (b *Broker) cannotBeServed(p *pool, w *pendingAsk, now time.Time) (Reason, bool) {
-	if now.Before(b.options.ServersKnownFrom) {
-		return ReasonOverload, len(p.queue) >= maxQueueLength
-	}
-	all, _, capacity := p.slotUsage(b, now)
-	if all == 0 && !b.anyEligible(p, w, now) {
-		return ReasonNoServer, true
-	}
-	ahead := 1
-	for _, other := range p.queue {
-		if !w.goesBefore(other) {
-			ahead++
-		}
-	}
-	return ReasonOverload, len(p.queue) >= maxQueueLength || p.expectedDelay(capacity, ahead) > w.waitUntil.Sub(now)
-}
-
-// expectedDelay is the expected time, at most maxExpectedDelay, until the given number
-// of asks has been assigned to servers that can run the given number at a time.
-func (p *pool) expectedDelay(capacity float64, ahead int) time.Duration {
-	delay := p.serviceTime.Seconds() * float64(ahead) / capacity
-	return time.Duration(min(delay, maxExpectedDelay.Seconds()) * float64(time.Second))
-}
-
 // retryBudgetAllows reports whether the service's retry budget allows one more
 // retry.
 func (b *Broker) retryBudgetAllows(p *pool, now time.Time) bool {
@@ -247,12 +184,13 @@
 			return true
 		}
 		if b.refuseForAccount(p, w, now) || b.refuseForBackoff(p, w, now) {
+			p.discard(w)
 			return true
 		}
 		if now.Before(w.waitUntil) {
 			return false
 		}
-		b.refuse(p, w.entry, w.ask.Seq, ReasonQueueTimeout, now)
+		b.refuseAsk(p, w, ReasonQueueTimeout, now)
 		return true
 	})
 }
@@ -283,7 +221,7 @@
 func (b *Broker) bestAskFor(p *pool, s *Server, now time.Time) int {
 	best, lowest := -1, time.Duration(0)
 	for at, w := range p.queue {
-		if best >= 0 && p.queue[best].goesBefore(w) {
+		if best >= 0 && p.queue[best].outranks(w) {
 			break
 		}
 		if !b.canRunNow(s, w, now) || b.shouldWait(p, s, w, now) {
@@ -297,27 +235,6 @@
 	return best
 }
 
-// refuse refuses an ask and sends the time at which a slot is expected to be free.
-func (b *Broker) refuse(p *pool, e *entry, seq uint64, reason Reason, now time.Time) {
-	all, _, capacity := p.slotUsage(b, now)
-	wait := p.expectedDelay(capacity, len(p.queue)+1)
-	if all == 0 {
-		wait = p.serviceTime
-	}
-	b.refuseFor(p, e, seq, reason, wait, now)
-}
-
-// refuseFor refuses an ask and sends the time after which it may be repeated. That time has
-// a random part, so that the callers don't return all at once.
-func (b *Broker) refuseFor(p *pool, e *entry, seq uint64, reason Reason, wait time.Duration, now time.Time) {
-	all, busy, _ := p.slotUsage(b, now)
-	wait += time.Duration(b.options.Random.Float64() * float64(p.serviceTime))
-	b.outputs = append(b.outputs, Output{Entry: e.name, Refusal: &Refusal{
-		Seq: seq, RetryMillis: int(wait.Milliseconds()), Reason: reason,
-		Waiting: len(p.queue), Busy: busy, Slots: all,
-	}})
-}
-
 // Cancel withdraws an ask, or releases its grant.
 func (b *Broker) Cancel(name string, seq uint64, now time.Time) {
 	e := b.entries[name]
@@ -325,7 +242,7 @@
 		return
 	}
 	for _, p := range b.pools {
-		p.queue = slices.DeleteFunc(p.queue, func(w *pendingAsk) bool { return w.entry == e && w.ask.Seq == seq })
+		p.dropAsks(func(w *pendingAsk) bool { return w.entry == e && w.ask.Seq == seq })
 	}
 	if id, granted := e.grantIDs[seq]; granted {
 		b.Release(name, Release{ID: id, Outcome: Unused}, now)
--- a/broker/sim_test.go
+++ b/broker/sim_test.go
@@ -40,6 +40,14 @@
 	regions, zones, entries int
 	// responseBytes is the size of a response.
 	responseBytes int
+	// accounts is the number of client accounts with equal rates; 0 means none. Between burstFrom
+	// and burstTo, hot of them send hotFactor times as much.
+	accounts, hot int
+	hotFactor     float64
+	// abusers is the part of the callers that repeat a refused request at once and five times.
+	abusers float64
+	// homes are the regions that may run the requests; empty means any.
+	homes []string
 	// distant says that each sample takes simTrip on its way to the broker, which is in
 	// another region than all entries.
 	distant bool
@@ -53,6 +61,13 @@
 type result struct {
 	requests, inTime, late, refused, timedOut int
 	urgent, urgentInTime                      int
+	// lateRefusals counts the refusals of asks that have waited an eighth of the objective.
+	lateRefusals int
+	// byAccount, byPriority and abusers hold the requests of each account, of each priority, and
+	// of those that wait as told and those that don't.
+	byAccount  map[int]*tally
+	byPriority map[int]*tally
+	patience   map[bool]*tally
 	// slow counts the requests that began on a machine below its usual pace.
 	slow int
 	// crossed and crossedZone count the granted requests that left their region
@@ -62,6 +77,31 @@
 	times []time.Duration
 }
 
+// tally counts requests, those that received a response and those that received it in time.
+type tally struct{ requests, served, inTime int }
+
+// servedShare is the part of the requests that received a response.
+func (t *tally) servedShare() float64 { return float64(t.served) / float64(t.requests) }
+
+// inTimeShare is the part of the requests that received a response in time.
+func (t *tally) inTimeShare() float64 { return float64(t.inTime) / float64(t.requests) }
+
+// tallies returns the tallies to which a request belongs.
+func (r *result) tallies(c *simRequest) []*tally {
+	if r.byAccount == nil {
+		r.byAccount, r.byPriority, r.patience = map[int]*tally{}, map[int]*tally{}, map[bool]*tally{}
+	}
+	return []*tally{tallyOf(r.byAccount, c.account), tallyOf(r.byPriority, c.priority), tallyOf(r.patience, c.abusive)}
+}
+
+// tallyOf returns the tally of a key and creates it if there is none.
+func tallyOf[K comparable](m map[K]*tally, key K) *tally {
+	if m[key] == nil {
+		m[key] = &tally{}
+	}
+	return m[key]
+}
+
 func (r result) quantile(q float64) time.Duration {
 	slices.Sort(r.times)
 	return r.times[int(q*float64(len(r.times)-1))]
@@ -135,6 +175,11 @@
 	priority              int
 	// entry is the number of the entry that received the request.
 	entry int
+	// number identifies the content, account is that of the caller, and abusive says that the
+	// caller doesn't wait before it comes back.
+	number  uint64
+	account int
+	abusive bool
 }
 
 // simEntry and simZone return the names of an entry and of a zone.
@@ -248,6 +293,11 @@
 	if s.now >= s.burstFrom && s.now < s.burstTo {
 		rate *= s.burst
 	}
+	hotExtra := 0.0
+	if s.hot > 0 && s.now >= s.burstFrom && s.now < s.burstTo {
+		hotExtra = float64(s.hot) * (s.hotFactor - 1) / float64(s.accounts)
+		rate *= 1 + hotExtra
+	}
 	s.schedule(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), s.arrive)
 	c := &simRequest{firstArrival: s.now, arrived: s.now, serviceTimeFactor: math.Exp(0.3*s.random.NormFloat64() - 0.045), priority: 2}
 	if s.random.Float64() < s.urgent {
@@ -255,6 +305,17 @@
 		s.result.urgent++
 	}
 	s.result.requests++
+	c.number = uint64(s.result.requests)
+	if s.accounts > 0 {
+		c.account = 1 + s.random.IntN(s.accounts)
+		if s.random.Float64() < hotExtra/(1+hotExtra) {
+			c.account = 1 + s.random.IntN(s.hot)
+		}
+	}
+	c.abusive = s.abusers > 0 && s.random.Float64() < s.abusers
+	for _, t := range s.result.tallies(c) {
+		t.requests++
+	}
 	if s.entries > 1 {
 		c.entry = s.random.IntN(s.entries)
 	}
@@ -272,11 +333,17 @@
 	s.nextAsk++
 	s.asks[s.nextAsk] = c
 	left := c.firstArrival + s.deadline - s.now
-	s.b.Ask(simEntry(c.entry), Ask{
+	d := DetailedAsk{}
+	if c.account > 0 {
+		d.Details.ClientAccount = fmt.Sprint("account ", c.account)
+	}
+	c.arrived = s.now
+	d.Ask = Ask{
 		Seq: s.nextAsk, Service: "s", Priority: c.priority,
-		ObjectiveMillis: int((c.firstArrival + s.objective - s.now).Milliseconds()),
-		DeadlineMillis:  int(min(left, s.timeout).Milliseconds()),
-	}, s.clock())
+		ObjectiveMillis: int(s.objective.Milliseconds()), HomeRegions: s.homes,
+		DeadlineMillis: int(min(left, s.timeout).Milliseconds()), Fingerprint: c.number,
+	}
+	s.b.AskInDetail(simEntry(c.entry), d, s.clock())
 }
 
 // deliver carries out the broker's grants and refusals.
@@ -290,8 +357,14 @@
 		r := *o.Refusal
 		c := s.asks[r.Seq]
 		delete(s.asks, r.Seq)
-		wait := millis(r.RetryMillis) + simTrip
-		if c.asks > s.maxRetries || wait > (c.firstArrival+s.deadline-s.now)/3 {
+		if s.now-c.arrived > s.objective/8 {
+			s.result.lateRefusals++
+		}
+		wait, maxRetries := millis(r.RetryMillis)+simTrip, s.maxRetries
+		if c.abusive {
+			wait, maxRetries = 2*simTrip, 5
+		}
+		if c.asks > maxRetries || wait > (c.firstArrival+s.deadline-s.now)/3 {
 			s.result.refused++
 			continue
 		}
@@ -374,6 +447,14 @@
 // finish counts the outcome of a request.
 func (s *simulation) finish(c *simRequest, timedOut bool) {
 	took := s.now + simTrip - c.firstArrival
+	for _, t := range s.result.tallies(c) {
+		if !timedOut {
+			t.served++
+		}
+		if !timedOut && took <= s.objective {
+			t.inTime++
+		}
+	}
 	if !timedOut {
 		s.result.times = append(s.result.times, took)
 	}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -228,7 +228,7 @@
 			o.Grant = nil
 		}
 		if o.Grant != nil {
-			l.c.metrics.grants.Inc()
+			l.c.metrics.countGrant(o.AheadBy)
 			l.sendGrantedServer(o.Entry, in, o.Server, time.Now())
 			if relay := l.sessions[o.Relay]; relay != nil {
 				l.sendGrantedServer(o.Relay, relay, o.Server, time.Now())
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -46,6 +46,14 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_ejections_total{entry=%q}", entry)).Inc()
 }
 
+// countGrant counts a grant and, if its ask went before another one, the rule by which it did.
+func (m *hostMetrics) countGrant(aheadBy broker.OrderRule) {
+	m.grants.Inc()
+	if aheadBy != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_grants_ahead_total{rule=%q}", aheadBy)).Inc()
+	}
+}
+
 // countRefusal counts a refusal by its reason.
 func (m *hostMetrics) countRefusal(reason broker.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("tanagerbarrow_refusals_total{reason=%q}", reason)).Inc()
