--- a/broker/admission.go
+++ b/broker/admission.go
@@ -152,7 +152,7 @@
 // expected to be free for it: behind the asks that wait now and the callers that were told before.
 func (b *Broker) refuseAsk(p *pool, w *pendingAsk, reason Reason, now time.Time) {
 	p.discard(w)
-	p.served.record(w.ask.Priority, false, now)
+	p.served.record(w.ask.Priority, false)
 	all, _, capacity := p.slotUsageIn(b, w.ask.HomeRegions, now)
 	if all == 0 {
 		b.refuse(p, w.entry, w.ask.Seq, reason, now)
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -295,6 +295,7 @@
 		p.grantedRetries.count(now, b.options.RetryWindow)
 		p.returns.expire(now)
 		b.measureDrain(p, now)
+		p.served.fade(now)
 	}
 	b.expireCrashSuspects(now)
 	b.expireAdoptedLimits(now)
--- a/broker/fair_test.go
+++ b/broker/fair_test.go
@@ -76,13 +76,15 @@
 // others must still be served half as often as all, less the requests that are on their way while
 // the counts change.
 func TestUrgentBurstStarvesNobody(t *testing.T) {
-	l := stock(600, 1)
-	l.urgent, l.length = 0.9, 10*time.Second
-	r := newSimulation(l).run()
-	urgent, other := r.byPriority[0], r.byPriority[2]
-	all := float64(urgent.served+other.served) / float64(r.requests)
-	if other.servedShare() < 0.9*leastServedShare*all {
-		t.Errorf("%.3f of the less urgent requests were served, %.3f of all", other.servedShare(), all)
+	for _, rankStep := range []int{1, 1 << 10} {
+		l := stock(600, 1)
+		l.urgent, l.length, l.rankStep = 0.9, 10*time.Second, rankStep
+		r := newSimulation(l).run()
+		urgent, other := r.byPriority[0], r.byPriority[2]
+		all := float64(urgent.served+other.served) / float64(r.requests)
+		if other.servedShare() < 0.9*leastServedShare*all {
+			t.Errorf("step %d: %.3f of the less urgent requests were served, %.3f of all", rankStep, other.servedShare(), all)
+		}
 	}
 }
 
--- a/broker/order.go
+++ b/broker/order.go
@@ -18,53 +18,60 @@
 	// minDecisions is the number of decisions on asks of a priority below which its share says
 	// nothing.
 	minDecisions = 10
-	// priorityLevels is the number of priorities whose shares are counted; less urgent ones
-	// count as the last.
-	priorityLevels = 8
+	// maxPriorities bounds the priorities whose shares are counted. Asks of further ones are never
+	// starved.
+	maxPriorities = 256
 )
 
-// servedCounts counts the asks that were granted and refused by priority. Counts lose weight with
-// time.
+// decisions counts the asks that were granted, and all that were granted or refused.
+type decisions struct{ granted, all float64 }
+
+// servedCounts counts the decisions on asks by priority. Counts lose weight with time.
 type servedCounts struct {
-	granted, decided [priorityLevels]float64
-	at               time.Time
+	byPriority map[int]*decisions
+	total      decisions
+	at         time.Time
 }
 
 // record counts a decision on an ask.
-func (c *servedCounts) record(priority int, granted bool, now time.Time) {
-	c.fade(now)
-	level := min(max(priority, 0), priorityLevels-1)
-	c.decided[level]++
+func (c *servedCounts) record(priority int, granted bool) {
+	d := c.byPriority[priority]
+	if d == nil {
+		if len(c.byPriority) >= maxPriorities {
+			return
+		}
+		if c.byPriority == nil {
+			c.byPriority = map[int]*decisions{}
+		}
+		d = &decisions{}
+		c.byPriority[priority] = d
+	}
+	d.all++
+	c.total.all++
 	if granted {
-		c.granted[level]++
+		d.granted++
+		c.total.granted++
 	}
 }
 
 // fade reduces the counts by the time that has passed.
 func (c *servedCounts) fade(now time.Time) {
-	if since := now.Sub(c.at); since > 0 {
-		factor := math.Exp2(-since.Seconds() / servedHalfLife.Seconds())
-		for level := range c.decided {
-			c.granted[level] *= factor
-			c.decided[level] *= factor
+	factor := math.Exp2(-now.Sub(c.at).Seconds() / servedHalfLife.Seconds())
+	c.at = now
+	c.total = decisions{c.total.granted * factor, c.total.all * factor}
+	for priority, d := range c.byPriority {
+		d.granted, d.all = d.granted*factor, d.all*factor
+		if d.all < 1 {
+			delete(c.byPriority, priority)
 		}
-		c.at = now
 	}
 }
 
 // starved reports whether the asks of a priority are served less than leastServedShare times as
 // often as all.
 func (c *servedCounts) starved(priority int) bool {
-	level := min(max(priority, 0), priorityLevels-1)
-	if c.decided[level] < minDecisions {
-		return false
-	}
-	granted, decided := 0.0, 0.0
-	for n := range c.decided {
-		granted += c.granted[n]
-		decided += c.decided[n]
-	}
-	return c.granted[level]/c.decided[level] < leastServedShare*granted/decided
+	d := c.byPriority[priority]
+	return d != nil && d.all >= minDecisions && d.granted*c.total.all < leastServedShare*c.total.granted*d.all
 }
 
 // OrderRule is the rule by which an ask goes before another one.
--- a/broker/place.go
+++ b/broker/place.go
@@ -268,7 +268,7 @@
 		p.shares.charge(w.details.ClientAccount, w.startTag, w.weight)
 	}
 	p.shares.granted(w.startTag)
-	p.served.record(w.ask.Priority, true, now)
+	p.served.record(w.ask.Priority, true)
 	p.drain.current++
 	w.entry.grantIDs[g.seq] = g.id
 	s.activeGrants++
--- a/broker/sim_test.go
+++ b/broker/sim_test.go
@@ -46,6 +46,9 @@
 	hotFactor     float64
 	// abusers is the part of the callers that repeat a refused request at once and five times.
 	abusers float64
+	// rankStep multiplies the priorities of the asks, as the ranks of client accounts' priorities
+	// do; 0 means 1.
+	rankStep int
 	// homes are the regions that may run the requests; empty means any.
 	homes []string
 	// distant says that each sample takes simTrip on its way to the broker, which is in
@@ -339,7 +342,7 @@
 	}
 	c.arrived = s.now
 	d.Ask = Ask{
-		Seq: s.nextAsk, Service: "s", Priority: c.priority,
+		Seq: s.nextAsk, Service: "s", Priority: c.priority * max(1, s.rankStep),
 		ObjectiveMillis: int(s.objective.Milliseconds()), HomeRegions: s.homes,
 		DeadlineMillis: int(min(left, s.timeout).Milliseconds()), Fingerprint: c.number,
 	}
