Keep the place of returning callers, and count asks by their home regions

Start tags of one account differ, so that return never decided; a caller that comes back keeps the tag of its first attempt. Asks that run in other regions no longer count as ahead, and a limit far from the mean no longer moves the virtual time beyond all others.

--- a/broker/admission.go
+++ b/broker/admission.go
@@ -33,10 +33,13 @@
 	a := d.Ask
 	w := &pendingAsk{ask: a, details: d.Details, entry: e, arrivedAt: now, firstAt: now, weight: b.accountWeight(d.Details.ClientAccount)}
 	objective := millis(a.ObjectiveMillis)
+	w.startTag = p.shares.tag(d.Details.ClientAccount)
 	if x := p.returns.take(w, now); x != nil {
 		w.firstAt, objective = x.firstAt, min(objective, x.objective.Sub(now))
 		w.returning = !now.Add(returnTolerance).Before(x.promisedAt)
-		if !w.returning {
+		if w.returning {
+			w.startTag = min(w.startTag, x.startTag)
+		} else {
 			w.promisedAt = x.promisedAt
 		}
 	}
@@ -47,7 +50,6 @@
 		wait = late
 	}
 	w.waitUntil = now.Add(wait)
-	w.startTag = p.shares.tag(d.Details.ClientAccount)
 	w.starved = p.served.starved(a.Priority)
 	return w
 }
@@ -90,19 +92,39 @@
 	if all == 0 && !b.anyEligible(p, w, now) {
 		return ReasonNoServer, true
 	}
-	ahead := 1
-	for _, other := range p.queue {
-		if !w.goesBefore(other) {
+	ahead := b.asksAhead(p, w, p.queue, capacity, now)
+	return ReasonOverload, len(p.queue) >= maxQueueLength || p.expectedDelay(capacity, ahead+1) > w.waitUntil.Sub(now)
+}
+
+// asksAhead returns how many of the waiting asks go before an ask and take their slots from its
+// servers, which can run capacity requests at a time. Those with other home regions take none, and
+// those that may go anywhere a part in proportion.
+func (b *Broker) asksAhead(p *pool, w *pendingAsk, waiting []*pendingAsk, capacity float64, now time.Time) float64 {
+	homes, part := w.ask.HomeRegions, 1.0
+	if len(homes) > 0 {
+		_, _, all := p.slotUsage(b, now)
+		part = min(capacity/all, 1)
+	}
+	ahead := 0.0
+	for _, other := range waiting {
+		others := other.ask.HomeRegions
+		switch {
+		case w.goesBefore(other):
+		case len(homes) == 0 || slices.Equal(homes, others):
+			ahead++
+		case len(others) == 0:
+			ahead += part
+		case slices.ContainsFunc(others, func(region string) bool { return slices.Contains(homes, region) }):
 			ahead++
 		}
 	}
-	return ReasonOverload, len(p.queue) >= maxQueueLength || p.expectedDelay(capacity, ahead) > w.waitUntil.Sub(now)
+	return ahead
 }
 
 // expectedDelay is the expected time, at most maxExpectedDelay, until the given number
 // of asks has been assigned to servers that can run the given number at a time.
-func (p *pool) expectedDelay(capacity float64, ahead int) time.Duration {
-	delay := p.serviceTime.Seconds() * float64(ahead) / (capacity * p.drain.factor())
+func (p *pool) expectedDelay(capacity, ahead float64) time.Duration {
+	delay := p.serviceTime.Seconds() * ahead / (capacity * p.drain.factor())
 	return time.Duration(min(delay, maxExpectedDelay.Seconds()) * float64(time.Second))
 }
 
@@ -129,7 +151,8 @@
 	for last := len(p.queue) - 1; last >= from; last-- {
 		w := p.queue[last]
 		_, _, capacity := p.slotUsageIn(b, w.ask.HomeRegions, now)
-		if p.expectedDelay(capacity, last+1) <= w.waitUntil.Sub(now) {
+		ahead := b.asksAhead(p, w, p.queue[:last], capacity, now)
+		if p.expectedDelay(capacity, ahead+1) <= w.waitUntil.Sub(now) {
 			return
 		}
 		p.queue = p.queue[:last]
@@ -158,7 +181,7 @@
 		b.refuse(p, w.entry, w.ask.Seq, reason, now)
 		return
 	}
-	wait := p.expectedDelay(capacity, len(p.queue)+1)
+	wait := p.expectedDelay(capacity, float64(len(p.queue)+1))
 	if next := p.lastReturn.Sub(now) + p.expectedDelay(capacity, 1); next > wait {
 		wait = next
 	}
@@ -173,7 +196,7 @@
 // be free.
 func (b *Broker) refuse(p *pool, e *entry, seq uint64, reason Reason, now time.Time) {
 	all, _, capacity := p.slotUsage(b, now)
-	wait := p.expectedDelay(capacity, len(p.queue)+1)
+	wait := p.expectedDelay(capacity, float64(len(p.queue)+1))
 	if all == 0 {
 		wait = p.serviceTime
 	}
--- a/broker/fair.go
+++ b/broker/fair.go
@@ -15,6 +15,10 @@
 // the highest tag that was granted, so that an account that was idle saves nothing up, and one
 // that used slots that nobody else wanted owes nothing.
 
+// maxWeight and its inverse bound an account's share relative to the mean. Limits may differ by any
+// factor, but one request must not move the virtual time beyond all others'.
+const maxWeight = 16
+
 // maxFairShares bounds the accounts that a service remembers; those beyond it have no claim
 // from earlier requests.
 const maxFairShares = 10_000
@@ -47,7 +51,7 @@
 	if f.finish == nil {
 		f.finish = map[string]float64{}
 	}
-	f.finish[account] = tag + 1/weight
+	f.finish[account] = math.Max(f.finish[account], tag) + 1/weight
 }
 
 // giveBack takes back the charge of a request that was not granted.
@@ -80,7 +84,7 @@
 		return 1
 	}
 	if a := b.index.Accounts().ByName(name); a != nil && a.Limited() {
-		return a.RatePerSecond / b.meanAccountRate
+		return min(max(a.RatePerSecond/b.meanAccountRate, 1.0/maxWeight), maxWeight)
 	}
 	return 1
 }
--- a/broker/fair_test.go
+++ b/broker/fair_test.go
@@ -1,10 +1,14 @@
 package broker
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"tanagerbarrow/account"
+	"tanagerbarrow/route"
 )
 
 // TestHotAccountsCostThemselves replays a load that the machines at their usual pace carry alone, by
@@ -72,6 +76,43 @@
 	}
 }
 
+// TestReturnsKeepTheirPlace lets a caller of an account come back as told, while others of its account
+// and of another one wait: it goes before those that came after its first attempt.
+func TestReturnsKeepTheirPlace(t *testing.T) {
+	b := New(Options{Regions: map[string]string{"z": "r"}, Zone: "z", RetryWindow: time.Second, Random: rand.New(rand.NewPCG(1, 1))})
+	b.Connect("e", "z", nil, start)
+	e, p := b.entries["e"], b.pool("s")
+	arrive := func(account string, fingerprint uint64, at time.Duration) *pendingAsk {
+		d := DetailedAsk{Ask: Ask{ObjectiveMillis: 4000, DeadlineMillis: 9000, Fingerprint: fingerprint}, Details: Details{ClientAccount: account}}
+		return b.newPendingAsk(p, e, d, start.Add(at))
+	}
+	p.returns.remember(arrive("a", 1, 0), time.Second, start)
+	for n := range 3 {
+		p.enqueue(arrive("a", uint64(2+n), 500*time.Millisecond))
+	}
+	p.enqueue(arrive("b", 9, 600*time.Millisecond))
+	back := arrive("a", 1, time.Second)
+	if !back.returning || !back.promisedAt.IsZero() || p.enqueue(back) != 0 {
+		t.Errorf("the caller that came back is at another place: %+v", back)
+	}
+	if early := arrive("a", 3, 700*time.Millisecond); early.returning {
+		t.Error("a request that was not refused has returned")
+	}
+}
+
+// TestWeightsAreBounded declares limits that differ by far more than requests can: one request of the
+// smallest account must not use up everybody's virtual time.
+func TestWeightsAreBounded(t *testing.T) {
+	b := New(Options{RetryWindow: time.Second, Random: rand.New(rand.NewPCG(1, 1))})
+	accounts := []account.Account{{Name: "tiny", RatePerSecond: 1e-300}, {Name: "large", RatePerSecond: 1e9}, {Name: "free"}}
+	b.Configure(route.NewIndex(&route.Configuration{ClientAccounts: accounts}), nil, start)
+	for name, want := range map[string]float64{"tiny": 1.0 / maxWeight, "large": 2, "free": 1, "unknown": 1} {
+		if got := b.accountWeight(name); got != want {
+			t.Errorf("%s weighs %v, want %v", name, got, want)
+		}
+	}
+}
+
 // TestUrgentBurstStarvesNobody replays a burst of urgent requests that exceed the slots alone. The
 // others must still be served half as often as all, less the requests that are on their way while
 // the counts change.
--- a/broker/returns.go
+++ b/broker/returns.go
@@ -41,6 +41,8 @@
 	firstAt, promisedAt time.Time
 	// objective is when its response would have to arrive.
 	objective time.Time
+	// startTag is its place in the fair shares, which it keeps.
+	startTag float64
 }
 
 // shared reports whether the content belongs to several requests. A caller sends a request again only
@@ -80,7 +82,7 @@
 		return
 	}
 	c.refusals++
-	c.refused = &refusedRequest{w.details.ClientAccount, w.firstAt, now.Add(wait), w.objectiveAt}
+	c.refused = &refusedRequest{w.details.ClientAccount, w.firstAt, now.Add(wait), w.objectiveAt, w.startTag}
 	c.usefulUntil = later(c.usefulUntil, now.Add(wait+returnPatience))
 }
 
