--- a/broker/fair_test.go
+++ b/broker/fair_test.go
@@ -171,3 +171,32 @@
 		}
 	})
 }
+
+// TestBurstOfOneKind replays three times the requests of a less urgent kind for five seconds. The urgent
+// ones must be in time as if there were none, and the others still be served half as often as all.
+func TestBurstOfOneKind(t *testing.T) {
+	for seed := range uint64(2) {
+		l := stock(300, seed)
+		l.urgent, l.burst, l.burstFrom, l.burstTo, l.length, l.burstOfOthers = 0.3, 3, 3*time.Second, 8*time.Second, 10*time.Second, true
+		r := newSimulation(l).run()
+		urgent, other := r.byPriority[0], r.byPriority[2]
+		all := float64(urgent.served+other.served) / float64(r.requests)
+		if urgent.inTimeShare() < inTimeUnderLoad || other.servedShare() < leastServedShare*all || r.lateRefusals > r.requests/10 {
+			t.Errorf("seed %d: %.3f of the urgent requests in time, %.3f of the others served, %d refused late; %s", seed, urgent.inTimeShare(), other.servedShare(), r.lateRefusals, r)
+		}
+	}
+}
+
+// TestSlowRegion replays half of the load while all machines of one of three regions are five times
+// slower: its requests must find the machines of the others.
+func TestSlowRegion(t *testing.T) {
+	for seed := range uint64(2) {
+		l := stock(200, seed)
+		l.regions, l.entries, l.distant, l.slowRegion, l.burst = 3, 18, true, true, 1
+		l.burstFrom, l.burstTo, l.length = 3*time.Second, 8*time.Second, 10*time.Second
+		r := newSimulation(l).run()
+		if r.share() < inTimeUnderLoad {
+			t.Errorf("seed %d: %s, %d met slow machines", seed, r, r.slow)
+		}
+	}
+}
--- a/broker/sim_test.go
+++ b/broker/sim_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"tanagerbarrow/registry"
@@ -46,6 +45,9 @@
 	hotFactor     float64
 	// abusers is the part of the callers that repeat a refused request at once and five times.
 	abusers float64
+	// slowRegion makes all machines of region 0 five times slower between burstFrom and burstTo, and
+	// burstOfOthers makes the burst one of requests of priority 2 alone.
+	slowRegion, burstOfOthers bool
 	// rankStep multiplies the priorities of the asks, as the ranks of client accounts' priorities
 	// do; 0 means 1.
 	rankStep int
@@ -60,65 +62,6 @@
 	idealQueue bool
 }
 
-// result counts the requests by their outcome for the callers.
-type result struct {
-	requests, inTime, late, refused, timedOut int
-	urgent, urgentInTime                      int
-	// lateRefusals counts the refusals of asks that have waited an eighth of the objective.
-	lateRefusals int
-	// byAccount, byPriority and abusers hold the requests of each account, of each priority, and
-	// of those that wait as told and those that don't.
-	byAccount  map[int]*tally
-	byPriority map[int]*tally
-	patience   map[bool]*tally
-	// slow counts the requests that began on a machine below its usual pace.
-	slow int
-	// crossed and crossedZone count the granted requests that left their region
-	// and their zone.
-	crossed, crossedZone int
-	// times are the latencies of the requests that received a response.
-	times []time.Duration
-}
-
-// tally counts requests, those that received a response and those that received it in time.
-type tally struct{ requests, served, inTime int }
-
-// servedShare is the part of the requests that received a response.
-func (t *tally) servedShare() float64 { return float64(t.served) / float64(t.requests) }
-
-// inTimeShare is the part of the requests that received a response in time.
-func (t *tally) inTimeShare() float64 { return float64(t.inTime) / float64(t.requests) }
-
-// tallies returns the tallies to which a request belongs.
-func (r *result) tallies(c *simRequest) []*tally {
-	if r.byAccount == nil {
-		r.byAccount, r.byPriority, r.patience = map[int]*tally{}, map[int]*tally{}, map[bool]*tally{}
-	}
-	return []*tally{tallyOf(r.byAccount, c.account), tallyOf(r.byPriority, c.priority), tallyOf(r.patience, c.abusive)}
-}
-
-// tallyOf returns the tally of a key and creates it if there is none.
-func tallyOf[K comparable](m map[K]*tally, key K) *tally {
-	if m[key] == nil {
-		m[key] = &tally{}
-	}
-	return m[key]
-}
-
-func (r result) quantile(q float64) time.Duration {
-	slices.Sort(r.times)
-	return r.times[int(q*float64(len(r.times)-1))]
-}
-
-// share is the part of the requests that received a response within the latency
-// objective.
-func (r result) share() float64 { return float64(r.inTime) / float64(r.requests) }
-
-func (r result) String() string {
-	return fmt.Sprintf("%d requests, %.3f in time, %.3f late, %.3f refused, %.3f timed out", r.requests, r.share(),
-		float64(r.late)/float64(r.requests), float64(r.refused)/float64(r.requests), float64(r.timedOut)/float64(r.requests))
-}
-
 // event is a function that runs at a virtual time.
 type event struct {
 	at  time.Duration
@@ -238,6 +181,9 @@
 
 // pace returns a server's pace at a time, in percent of the usual.
 func (s *simulation) pace(server uint32, at time.Duration) int {
+	if s.slowRegion && s.zone[server]%s.regions == 0 && at >= s.burstFrom && at < s.burstTo {
+		return 500
+	}
 	draw := uint64((at + s.phase[server]) / simInterval)
 	if rand.New(rand.NewPCG(s.seed+uint64(server)<<32, draw)).Float64() < 0.25 {
 		return 500
@@ -303,7 +249,11 @@
 	}
 	s.schedule(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), s.arrive)
 	c := &simRequest{firstArrival: s.now, arrived: s.now, serviceTimeFactor: math.Exp(0.3*s.random.NormFloat64() - 0.045), priority: 2}
-	if s.random.Float64() < s.urgent {
+	urgent := s.urgent
+	if s.burstOfOthers && s.now >= s.burstFrom && s.now < s.burstTo {
+		urgent /= s.burst
+	}
+	if s.random.Float64() < urgent {
 		c.priority = 0
 		s.result.urgent++
 	}
