--- a/broker/sim_test.go
+++ b/broker/sim_test.go
@@ -45,11 +45,9 @@
 	hotFactor     float64
 	// abusers is the part of the callers that repeat a refused request at once and five times.
 	abusers float64
-	// slowRegion makes all machines of region 0 five times slower between burstFrom and burstTo, and
-	// burstOfOthers makes the burst one of requests of priority 2 alone.
+	// slowRegion slows all machines of region 0 during the burst; burstOfOthers gives it priority 2.
 	slowRegion, burstOfOthers bool
-	// rankStep multiplies the priorities of the asks, as the ranks of client accounts' priorities
-	// do; 0 means 1.
+	// rankStep is the distance of the priorities' ranks; 0 means 1.
 	rankStep int
 	// homes are the regions that may run the requests; empty means any.
 	homes []string
@@ -62,29 +60,6 @@
 	idealQueue bool
 }
 
-// event is a function that runs at a virtual time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-// events is a priority queue of events by time.
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // Delays and intervals of the simulated deployment.
 const (
 	simTrip     = 8 * time.Millisecond
