Guard the listeners of the project's own roles

A crowd that stopped in its bodies, or sent requests ahead, took all connections of an entry or control host for good: on four of six ways of TestCrowdsAtTheOwnRoles fail, with no answer to an ordinary request within 30 s, and heads of short fields take 108 MB of 96.

A request that is with a backend server is marked, so that its connection is never closed for its upload. limits.max-head-memory bounds the decoded heads of a process.

--- a/caller/front.go
+++ b/caller/front.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"tanagerbarrow/request"
+	"tanagerbarrow/serving"
 	"tanagerbarrow/state"
 	"tanagerbarrow/telemetry"
 	"tanagerbarrow/verdict"
@@ -82,6 +83,8 @@
 	}
 	ctx, cancel := context.WithDeadline(h.Context(), r.Deadline)
 	defer cancel()
+	serving.AtServer(ctx, true)
+	defer serving.AtServer(ctx, false)
 	res, err := f.Dispatcher.Dispatch(ctx, r, h)
 	if err != nil {
 		return f.writeError(c, r, id, start, err)
--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"tanagerbarrow/access"
+	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/consensus"
 	"tanagerbarrow/ledger"
 	"tanagerbarrow/operator"
@@ -67,7 +68,10 @@
 	if c.operatorServer, err = serving.Listen(routes, s.Control.OperatorListen, s.Limits); err != nil {
 		return nil, err
 	}
-	c.operatorServer.Guarded(serving.NewGuard(serving.GuardOptions{Name: "operators", Log: log, Metrics: c.metrics.Set}))
+	heads := bodybuf.NewBudget(s.Limits.MaxHeadMemory)
+	guard := serving.NewGuard(serving.GuardOptions{Name: "operators", Memory: heads, Log: log, Metrics: c.metrics.Set})
+	heads.Reclaim = guard.Reclaim
+	c.operatorServer.Guarded(guard)
 	c.operatorServer.UseTLS(secure.OperatorServer())
 	c.peerListener, err = net.Listen("tcp", s.Host.Peer.String())
 	return c, errors.Wrapf(err, "listen for peers on %s", s.Host.Peer)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"tanagerbarrow/access"
 	"tanagerbarrow/backend"
 	"tanagerbarrow/balance"
+	"tanagerbarrow/bodybuf"
 	"tanagerbarrow/caller"
 	"tanagerbarrow/dispatch"
 	"tanagerbarrow/limit"
@@ -100,8 +101,12 @@
 	if e.admin, err = serving.Listen(e.adminRoutes(), e.settings.Entry.AdminListen, e.settings.Limits); err != nil {
 		return err
 	}
-	e.callers.Guarded(serving.NewGuard(serving.GuardOptions{Name: "callers", Streams: true, Log: e.log, Metrics: e.metrics.Set}))
-	e.admin.Guarded(serving.NewGuard(serving.GuardOptions{Name: "admin", Log: e.log, Metrics: e.metrics.Set}))
+	heads := bodybuf.NewBudget(e.settings.Limits.MaxHeadMemory)
+	callers := serving.NewGuard(serving.GuardOptions{Name: "callers", Memory: heads, Log: e.log, Metrics: e.metrics.Set})
+	admin := serving.NewGuard(serving.GuardOptions{Name: "admin", Memory: heads, Log: e.log, Metrics: e.metrics.Set})
+	heads.Reclaim = func(bytes int64) bool { return callers.Reclaim(bytes) || admin.Reclaim(bytes) }
+	e.callers.Guarded(callers)
+	e.admin.Guarded(admin)
 	e.peerListener, err = net.Listen("tcp", e.settings.Host.Peer.String())
 	return errors.Wrapf(err, "listen for peers on %s", e.settings.Host.Peer)
 }
--- a/serving/guard.go
+++ b/serving/guard.go
@@ -48,9 +48,6 @@
 	Memory *bodybuf.Budget
 	// MaxHeadBytes returns the bound of a head in bytes; 0 or nil for that of the server.
 	MaxHeadBytes func() int64
-	// Streams says that bodies are read while a backend server runs the request: such a
-	// connection is never closed for its upload.
-	Streams bool
 	// Log receives a line for each closed connection, and Metrics their numbers.
 	Log     zerolog.Logger
 	Metrics *metrics.Set
@@ -118,6 +115,14 @@
 	}
 }
 
+// AtServer records whether a request is with a backend server, which may run it while its body is still
+// read: meanwhile the connection is not closed for its upload.
+func AtServer(ctx context.Context, atServer bool) {
+	if held, ok := ctx.Value(connKey{}).(*guardedConn); ok {
+		held.atServer.Store(atServer)
+	}
+}
+
 // LimitBody makes reads of the body of a request fail with os.ErrDeadlineExceeded after end.
 func LimitBody(ctx context.Context, end time.Time) {
 	if held, ok := ctx.Value(connKey{}).(*guardedConn); ok {
--- a/serving/guardedconn.go
+++ b/serving/guardedconn.go
@@ -36,6 +36,8 @@
 	phase atomic.Int32
 	// reading and writing say that the process waits for the caller.
 	reading, writing atomic.Bool
+	// atServer is set by [AtServer].
+	atServer atomic.Bool
 	// transferred counts the bytes of this phase in this window, and waitedTicks the sweeps
 	// that found the process waiting.
 	transferred, waitedTicks atomic.Int64
@@ -64,6 +66,7 @@
 	c.enter(phaseIdle)
 	c.releaseHead()
 	c.held.Store(0)
+	c.atServer.Store(false)
 	c.limitRead(time.Time{})
 }
 
@@ -107,7 +110,7 @@
 	case phaseIdle, phaseHead:
 		return c.readHead(p)
 	case phaseServing, phaseResponse:
-		if c.guard.options.Streams {
+		if c.atServer.Load() {
 			return c.Conn.Read(p)
 		}
 		c.enter(phaseBody)
--- a/settings/load.go
+++ b/settings/load.go
@@ -194,6 +194,7 @@
 	r.limitDuration("drain-timeout", &l.DrainTimeout)
 	r.limitDuration("stop-delay", &l.StopDelay)
 	r.limitDuration("lease-duration", &l.LeaseDuration)
+	r.positiveInteger("max-head-memory", &l.MaxHeadMemory)
 	connections := int64(l.MaxConnections)
 	r.positiveInteger("max-connections", &connections)
 	l.MaxConnections = int(connections)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,6 +124,9 @@
 	RequestTimeout time.Duration
 	// MaxConnections limits open caller connections; 20000 by default.
 	MaxConnections int
+	// MaxHeadMemory limits the memory of the decoded heads of all requests, in bytes; 64 MB by
+	// default.
+	MaxHeadMemory int64
 	// DrainTimeout limits a graceful shutdown; 30s by default.
 	DrainTimeout time.Duration
 	// StopDelay is the time between an entry's becoming unready and the closing
@@ -146,6 +149,7 @@
 		IdleTimeout:       60 * time.Second,
 		RequestTimeout:    30 * time.Second,
 		MaxConnections:    20000,
+		MaxHeadMemory:     64 << 20,
 		DrainTimeout:      30 * time.Second,
 		StopDelay:         5 * time.Second,
 		LeaseDuration:     3 * time.Second,
