Compare rare routes with themselves

A good version was rolled back since three of three requests of a rare route failed: that route's timeout lies below its service time, so that its requests fail on old servers as well, but the old servers' few responses on it were replaced by those of all routes. A route is now compared with its own responses, or not at all; in the test of all requests each one is expected to end as those of its route do.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -50,8 +50,11 @@
 	// how much its rate exceeds that of all.
 	outlierAnswers = 6
 	outlierExcess  = 0.2
+	// minRouteBaseline is the number of responses of the baseline on a route from which the route
+	// is tested: some routes fail always, as those with a short timeout.
+	minRouteBaseline = 8
 	// EnoughAnswers is the number of the canary's responses from which a verdict counts.
-	EnoughAnswers = 60
+	EnoughAnswers = 50
 )
 
 // maxRate bounds the rates that are assumed, so that their logarithms are finite.
@@ -211,8 +214,11 @@
 	best := finding{kind: k, stream: s}
 	answers := e.canaryAnswers(k, s, now)
 	base := e.newBaseline(k, s, now)
+	if base == nil {
+		return best
+	}
 	servers := map[uint32]*tally{}
-	all, window := tally{}, firstWindow
+	all, window, excess := tally{}, firstWindow, 0.0
 	for n, a := range answers {
 		_, bad := a.counts(k)
 		t := servers[a.server]
@@ -222,6 +228,7 @@
 		}
 		t.add(bad)
 		all.add(bad)
+		excess += base.excess[a.route]
 		if all.n < window && n < len(answers)-1 || all.n < firstWindow {
 			continue
 		}
@@ -229,7 +236,7 @@
 		f := finding{kind: k, stream: s, n: all.n, bad: all.bad, servers: len(servers)}
 		b := base.since(a.orderedBy(k))
 		f.baselineRate, f.baselineCount = b.rate(), b.n
-		f.score = score(k, all, servers, b, perServer)
+		f.score = score(k, all, servers, b, excess/float64(all.n), perServer)
 		if f.score > best.score {
 			best = f
 		}
@@ -274,14 +281,15 @@
 }
 
 // score is the logarithm of the likelihood ratio of the rate that was seen to the baseline's
-// rate plus the margin. Each server contributes at most its part.
-func score(k kind, all tally, servers map[uint32]*tally, baseline tally, perServer float64) float64 {
+// rate plus the margin. Excess is by how much the routes of the answers make them worse with any
+// version. Each server contributes at most its part.
+func score(k kind, all tally, servers map[uint32]*tally, baseline tally, excess, perServer float64) float64 {
 	margin, least := failureMargin, leastFailures
 	if k == slowness {
 		margin, least = slowMargin, leastSlow
 	}
 	b := (float64(baseline.bad) + 0.5) / float64(baseline.n+1)
-	p0 := b + margin + math.Sqrt(b*(1-b)/float64(baseline.n+1))
+	p0 := b + max(excess, 0) + margin + math.Sqrt(b*(1-b)/float64(baseline.n+1))
 	p1 := min(all.rate(), maxRate)
 	if p1 < p0+least {
 		return 0
@@ -307,17 +315,19 @@
 type baseline struct {
 	now   time.Time
 	spans []tally
+	// excess is, by route, how much worse its answers are than all; 0 for a stream of one route.
+	excess []float64
 	// next is the first span that is not in sum.
 	next int
 	sum  tally
 }
 
-// newBaseline returns the baseline of a stream. A route or load of which it has too few answers is
-// compared with all.
+// newBaseline returns the baseline of a stream; nil if there are too few answers of its route.
+// Loaded servers are compared with all if too few old ones are loaded.
 func (e *Evidence) newBaseline(k kind, s stream, now time.Time) *baseline {
 	outliers := e.outliers(k)
-	b := &baseline{now: now, spans: make([]tally, baselineSpans)}
-	n := 0
+	b := &baseline{now: now, spans: make([]tally, baselineSpans), excess: make([]float64, len(e.routes))}
+	all, routes := tally{}, make([]tally, len(e.routes))
 	for i := range e.baseline.answers {
 		a := &e.baseline.answers[i]
 		if !s.has(a) || outliers[a.server] || !e.isEvidence(a, k, now) {
@@ -325,10 +335,20 @@
 		}
 		_, bad := a.counts(k)
 		b.spans[min(int(now.Sub(a.orderedBy(k))/baselineSpan), baselineSpans-1)].add(bad)
-		n++
+		all.add(bad)
+		routes[a.route].add(bad)
 	}
-	if n < minBaseline && s != (stream{route: -1}) {
+	switch {
+	case s.loadedOnly && all.n < minBaseline:
 		return e.newBaseline(k, stream{route: -1}, now)
+	case s.route >= 0 && all.n < minRouteBaseline:
+		return nil
+	}
+	// The canary has other parts of the routes than the baseline.
+	for n, t := range routes {
+		if s.route < 0 && t.n >= minRouteBaseline {
+			b.excess[n] = t.rate() - all.rate()
+		}
 	}
 	return b
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -194,3 +194,11 @@
 		}
 	}
 }
+
+// TestRoutesThatAlwaysFail completes a good version although all requests of a rare route fail on
+// both versions: the canary has more of that route than the old version.
+func TestRoutesThatAlwaysFail(t *testing.T) {
+	w := largeWorld()
+	w.routes, w.failingRoute = []float64{0.495, 0.495, 0.01}, 2
+	check(t, "400/s", w, 1, 0)
+}
