Hold servers of unknown version back while a roll-out is on

A new broker may get the record of a new server ahead of its version. The server then counted as old and got a full share for up to a heartbeat interval, outside of the canary's count; after a roll-back too. It now gets nothing for 3 s, unless more servers are unknown than known to be old. Found in review; a test fails without the change.

--- a/broker/rollout.go
+++ b/broker/rollout.go
@@ -15,6 +15,10 @@
 	// soleVersionDelay is how long a service must have had no server of another version until
 	// the new version serves it alone during the canary: records of old servers may only be late.
 	soleVersionDelay = 5 * time.Second
+	// unknownVersionDelay is how long a server of unknown version gets nothing while fewer
+	// servers are unknown than are known to be old: its next heartbeat brings the version, as to
+	// a new broker. Then it counts as old.
+	unknownVersionDelay = 3 * time.Second
 	// groupedBodyBytes is the size of a body from which a canary's request stays in its region
 	// also while requests are grouped on few servers.
 	groupedBodyBytes = 32 << 10
@@ -52,6 +56,10 @@
 	// one. alone says that this has lasted so long that the new version serves alone.
 	noOldSince time.Time
 	alone      bool
+	// unknownSince holds, by number, since when a server is known whose version isn't, and settled
+	// those of them that count as old.
+	unknownSince map[uint32]time.Time
+	settled      map[uint32]bool
 }
 
 // serverLoad is when more than loadedUtilization and slowdownUtilization of a server's slots
@@ -63,7 +71,7 @@
 func (b *Broker) SetRollouts(rollouts []Rollout, now time.Time) {
 	for _, r := range rollouts {
 		known := b.rollouts[r.Service]
-		if known == nil || known.Position != r.Position || r.Stage.Ended() {
+		if known == nil || known.Position != r.Position || r.Stage.Ended() && known.Stage != r.Stage {
 			b.rollouts[r.Service] = b.newServiceRollout(r, now)
 			continue
 		}
@@ -72,6 +80,9 @@
 		}
 		known.Rollout.Rollout = r.Rollout
 	}
+	for _, r := range b.rollouts {
+		b.settleUnknown(r, now)
+	}
 	b.serveQueues(now)
 }
 
@@ -86,6 +97,7 @@
 	return &serviceRollout{
 		Rollout: r, decision: decision, grants: map[uint32]int{}, loads: map[uint32]*serverLoad{},
 		lostConnections: map[uint32]bool{}, overdue: map[overdueKey]int{}, switchedAt: now,
+		unknownSince: map[uint32]time.Time{}, settled: map[uint32]bool{},
 	}
 }
 
@@ -96,8 +108,12 @@
 func (r *serviceRollout) bad() bool { return r.decision.Evidence.Verdict() != nil }
 
 // serves reports whether a server serves the requests of its service, other than those that a
-// canary gets. Servers that name no version are old ones until the roll-out is completed.
+// canary gets. Servers of unknown version are old ones, though not at once, until the roll-out is
+// completed.
 func (r *serviceRollout) serves(s *Server) bool {
+	if s.Record.Version == "" && !r.settled[s.Number] && r.Stage != declare.RolloutCompleted {
+		return false
+	}
 	switch r.Stage {
 	case declare.RolloutCanary:
 		return !r.isNew(s) || r.alone && !r.bad()
--- a/broker/rollout_test.go
+++ b/broker/rollout_test.go
@@ -360,3 +360,32 @@
 		t.Errorf("server %+v serves", s)
 	}
 }
+
+// TestUnknownVersionsWait gives a server of unknown version nothing until its version had the time to
+// arrive, unless most servers are unknown.
+func TestUnknownVersionsWait(t *testing.T) {
+	r := newRolloutBench(t, 2, 2)
+	late := r.announce("late", "")
+	used := func(length time.Duration) int {
+		before := late.activeGrants
+		for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(20 * time.Millisecond) {
+			r.finish()
+			r.b.Tick(r.now)
+			r.ask(Details{Route: "a"}, nil)
+		}
+		return max(before, late.activeGrants)
+	}
+	if n := used(2 * time.Second); n > 0 {
+		t.Errorf("%d requests run on a server of unknown version", n)
+	}
+	if n := used(4 * time.Second); n == 0 {
+		t.Error("a server of unknown version is never used")
+	}
+	for n := range 4 {
+		r.announce(fmt.Sprint("unknown", n), "")
+	}
+	r.b.Tick(r.now)
+	if got := r.b.GrantOnlyServers(); len(got) != 2 {
+		t.Errorf("%v need a grant, want the new ones", got)
+	}
+}
--- a/broker/rolloutresult.go
+++ b/broker/rolloutresult.go
@@ -137,6 +137,9 @@
 // updateRollouts brings what depends on time up to date.
 func (b *Broker) updateRollouts(now time.Time) {
 	for _, r := range b.rollouts {
+		if r.Stage != declare.RolloutCompleted {
+			b.settleUnknown(r, now)
+		}
 		if r.Stage.Ended() {
 			continue
 		}
@@ -149,6 +152,31 @@
 	}
 }
 
+// settleUnknown finds the servers of unknown version that count as old.
+func (b *Broker) settleUnknown(r *serviceRollout, now time.Time) {
+	old, unknown := 0, 0
+	for _, s := range b.pool(r.Service).servers {
+		switch {
+		case s.Record.Version == "":
+			unknown++
+		case !r.isNew(s):
+			old++
+		}
+	}
+	if unknown == 0 {
+		return
+	}
+	for _, s := range b.pool(r.Service).servers {
+		if s.Record.Version != "" || r.settled[s.Number] {
+			continue
+		}
+		if _, seen := r.unknownSince[s.Number]; !seen {
+			r.unknownSince[s.Number] = now
+		}
+		r.settled[s.Number] = unknown > old || now.Sub(r.unknownSince[s.Number]) >= unknownVersionDelay
+	}
+}
+
 // updateVersions finds out whether the service has servers of the new version only.
 func (b *Broker) updateVersions(r *serviceRollout, now time.Time) {
 	servers, old := b.pool(r.Service).servers, false
