--- a/broker/account.go
+++ b/broker/account.go
@@ -14,9 +14,8 @@
 type accountMeter struct {
 	*account.Meter
 	name string
-	// refused counts the asks that were refused for the limit since the meter last allowed one. Their
-	// callers return before those that are refused later.
-	refused int
+	// promisedUntil is when there is a token for the caller that was refused last and can come back.
+	promisedUntil time.Time
 	// shares divides what entries may let through without a broker.
 	shares *account.Shares
 }
@@ -84,16 +83,25 @@
 // there is a token for it. It reports whether it did.
 func (b *Broker) refuseForAccount(p *pool, w *pendingAsk, now time.Time) bool {
 	if w.accountAllows(now) {
-		if w.meter != nil {
-			w.meter.refused = 0
-		}
 		return false
 	}
-	b.refuseAt(p, w, ReasonAccountLimit, w.meter.Wait(w.meter.refused, now), now)
-	w.meter.refused++
+	b.refuseAt(p, w, ReasonAccountLimit, w.meter.promise(millis(w.ask.DeadlineMillis), now), now)
 	return true
 }
 
+// promise returns the time until there is a token for a caller that is refused now: behind those that were
+// told a time before. A caller that can't wait so long takes none.
+func (m *accountMeter) promise(deadline time.Duration, now time.Time) time.Duration {
+	next := m.Wait(0, now)
+	if behind := m.promisedUntil.Sub(now) + m.Wait(1, now) - next; behind > next {
+		next = behind
+	}
+	if next <= time.Duration(returnDeadlineShare*float64(deadline)) {
+		m.promisedUntil = now.Add(next)
+	}
+	return next
+}
+
 // refuseAt refuses an ask and sends the exact time after which it may be repeated.
 func (b *Broker) refuseAt(p *pool, w *pendingAsk, reason Reason, wait time.Duration, now time.Time) {
 	all, busy, _ := p.slotUsage(b, now)
--- a/broker/account_test.go
+++ b/broker/account_test.go
@@ -66,6 +66,30 @@
 	}
 }
 
+// TestRefusedCallersAreToldTheirOwnTokens sends five times an account's limit for two seconds, of which
+// some is granted all the time. The times that refused callers are told must not be nearer together than its
+// tokens: before, each grant began them anew, and the callers came back to tokens that others had.
+func TestRefusedCallersAreToldTheirOwnTokens(t *testing.T) {
+	w := newTestBroker(t, "a", "a", "a")
+	w.Configure(accountIndex(20, 0), nil, w.now)
+	from, told := w.now, 0
+	for range 200 {
+		w.now = w.now.Add(10 * time.Millisecond)
+		o := w.askAs("north", func(a *Ask) { a.DeadlineMillis = 1500 })
+		if o.Grant != nil {
+			w.Release("e1", Release{ID: o.Grant.ID, Outcome: Answered, ElapsedMillis: 10}, w.now)
+			w.TakeOutputs()
+			continue
+		}
+		if millis(o.Refusal.RetryMillis) <= 500*time.Millisecond {
+			told++
+		}
+	}
+	if most := int(20*(w.now.Sub(from)+500*time.Millisecond).Seconds()) + 1; told > most {
+		t.Errorf("%d callers were told to come back within their time, there are %d tokens", told, most)
+	}
+}
+
 // TestQueuedAsksTakeTheirTokenWithTheGrant checks that asks that wait for a slot don't pass the limit later,
 // and that what is refused elsewhere costs no token.
 func TestQueuedAsksTakeTheirTokenWithTheGrant(t *testing.T) {
