Let long bodies not wait for a pace that doesn't last

With measured delays, a body that takes nearly as long on a thin link as a machine's pace lasts always arrived behind the next change. The broker took that for a slow machine, and such requests waited until they were refused, with nine in ten slots idle. They now go to the best machine of the moment, if no pace can last until they arrive.

The test fails on the code before.

--- a/broker/delay_test.go
+++ b/broker/delay_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -47,3 +48,24 @@
 		t.Errorf("a message takes %v", got)
 	}
 }
+
+// TestLongBodiesDontWaitForAPace asks for a request whose body takes so long that the pace of every
+// machine changes before it arrives. It waited for a better machine until it was refused, with
+// nearly all slots idle.
+func TestLongBodiesDontWaitForAPace(t *testing.T) {
+	w := newTestBroker(t, "b", "b", "b", "b")
+	for n := range 200 {
+		s := w.byID[fmt.Sprint("server", n%4)]
+		pace := usualPace
+		if n%4 > 0 {
+			pace = 5 * usualPace
+		}
+		w.SampleBy("e2", Sample{
+			Server: s.Number, Healthy: true, Responded: true, Pace: pace, ColdMillis: -1, Running: -1, PaceValidMillis: 150,
+		}, w.now)
+	}
+	w.Ask("e2", Ask{Seq: 1, Service: "s", ObjectiveMillis: 2000, DeadlineMillis: 15_000, BodyBytes: 60_000, SendMillis: 137}, w.now)
+	if out := w.TakeOutputs(); len(out) != 1 || out[0].Grant == nil {
+		t.Errorf("the broker replies %+v", out)
+	}
+}
--- a/broker/place.go
+++ b/broker/place.go
@@ -108,8 +108,7 @@
 	if b.shouldWaitForRegion(p, s, w, now) {
 		return true
 	}
-	if !s.paceKnown(now) || millis(w.ask.SendMillis) >= paceLifetime {
-		// The pace is unknown, or no pace lasts until the body has arrived.
+	if !s.paceKnown(now) || !b.paceMayLast(s, w, now) {
 		return false
 	}
 	if p.paceFactor(s, now, now.Add(b.timeToArrival(s, w, now))) <= maxUsualPaceFactor {
@@ -118,6 +117,13 @@
 	return now.Before(w.waitUntil) || (len(p.queue) > 1 && s.isSampled(now))
 }
 
+// paceMayLast reports whether a machine's pace can last until a request has arrived, at the
+// earliest time at which the broker knows of it. If not, as with a large body on a thin link, waiting
+// for another machine gains nothing.
+func (b *Broker) paceMayLast(s *Server, w *pendingAsk, now time.Time) bool {
+	return b.delays.message(s.Record.AvailabilityZone)+b.timeToArrival(s, w, now) < paceLifetime
+}
+
 // shouldWaitForRegion reports whether a request that would leave its region
 // should wait for a server there: slots become free all the time, and the links
 // between regions cost more than a short wait. A request with a large body or
