Let a new broker learn its servers before it ends an overdue roll-out

A broker that took over after twice the time of an order had no records yet, and would have rolled the version back for lack of room. It now counts requests for 5 s first. A test fails without the change.

--- a/broker/rollout_test.go
+++ b/broker/rollout_test.go
@@ -332,6 +332,15 @@
 		t.Errorf("the stage without new servers is %s", r.stage)
 	}
 
+	r = newRolloutBench(t, 20, 0)
+	r.now = start.Add(3 * rolloutDuration)
+	delete(r.b.rollouts, "s")
+	r.set(false)
+	r.run(200, 2*time.Second)
+	if r.stage != declare.RolloutCanary {
+		t.Errorf("the stage under a new broker is %s", r.stage)
+	}
+
 	r = newRolloutBench(t, 20, 20)
 	r.noRoutes = true
 	r.run(200, 2*rolloutDuration-time.Second)
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -26,6 +26,9 @@
 	// from which it should have got more.
 	overdueAnswers  = 10
 	overdueRequests = 200
+	// overdueTerm is how long a broker must have counted requests until then: a new one has
+	// neither evidence nor all servers at first.
+	overdueTerm = 5 * time.Second
 )
 
 // Conditions are what the decision on the next stage depends on besides the evidence.
@@ -83,7 +86,7 @@
 // roll-out ends either way.
 func (r *Rollout) unfit(c Conditions, now time.Time) (stage declare.RolloutStage, reason string) {
 	last := !now.Before(r.Plan.LatestSwitch(c.ServiceTime))
-	longOverdue := now.Sub(r.Plan.Due) >= r.Plan.duration()
+	longOverdue := now.Sub(r.Plan.Due) >= r.Plan.duration() && now.Sub(r.Exposure.since) >= overdueTerm
 	if longOverdue {
 		stage = declare.RolloutRolledBack
 	}
