--- a/serving/guard_test.go
+++ b/serving/guard_test.go
@@ -153,6 +153,31 @@
 	t.Errorf("%d bytes are not released", budget.Total()-budget.Free())
 }
 
+// TestLinesOfBodiesAreNoFields sends a body of short lines together with its head.
+func TestLinesOfBodiesAreNoFields(t *testing.T) {
+	budget := bodybuf.NewBudget(1 << 20)
+	address, g := startGuarded(t, GuardOptions{MaxConnections: 4, Memory: budget})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3001\r\n\r\n"+strings.Repeat("a\n", 1500))
+	for {
+		if _, all := g.holdings(); len(all) == 1 && all[0].phase == phaseBody && all[0].waiting {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if held := g.headBytes(); held != 0 {
+		t.Errorf("%d bytes are held for the head", held)
+	}
+	_, _ = io.WriteString(c, "b")
+	if got := readSome(c); !strings.HasSuffix(got, "3001") {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
 // TestLongHeadIsRefused sends a head over the bound that is in force.
 func TestLongHeadIsRefused(t *testing.T) {
 	address, _ := startGuarded(t, GuardOptions{MaxConnections: 4, MaxHeadBytes: func() int64 { return 16 << 10 }})
--- a/serving/guardedconn.go
+++ b/serving/guardedconn.go
@@ -139,7 +139,7 @@
 		c.enter(phaseHead)
 	}
 	c.headBytes += int64(n)
-	c.headFields += int64(bytes.Count(p[:n], []byte{'\n'}))
+	c.headFields += int64(bytes.Count(headPart(p[:n]), []byte{'\n'}))
 	if limit := c.guard.options.MaxHeadBytes; limit != nil {
 		if most := limit(); most > 0 && c.headBytes > most+headSlack {
 			return c.refuseHead(headTooLarge)
@@ -155,6 +155,15 @@
 	return n, err
 }
 
+// headPart returns the bytes up to the end of a head, so that the lines of a body that was read together
+// with it count as no fields.
+func headPart(read []byte) []byte {
+	if end := bytes.Index(read, []byte("\r\n\r\n")); end >= 0 {
+		return read[:end]
+	}
+	return read
+}
+
 // refuseHead answers a head that is not read on. The server takes the end for one by the
 // caller, and closes the connection.
 func (c *guardedConn) refuseHead(response string) (int, error) {
