Take an overdue roll-out for due after a restart

A host that found a roll-out after its due time began its plan anew at each restart. It counts as due now, unless the clock is certainly wrong.

--- a/coordinator/rollouts.go
+++ b/coordinator/rollouts.go
@@ -51,14 +51,18 @@
 	c.rolloutClocks = seen
 }
 
-// elapsedSince returns how long a roll-out has taken by a clock; 0 if the clock seems to be
-// wrong.
+// maxOverdue is how far a roll-out may be overdue when a host finds it, as a multiple of its
+// duration: beyond that the clock is more likely wrong.
+const maxOverdue = 10
+
+// elapsedSince returns how long a roll-out has taken by a clock, at most its duration; 0 if the
+// clock seems to be wrong.
 func elapsedSince(r declare.Rollout, now time.Time) time.Duration {
-	elapsed := now.Sub(time.UnixMilli(r.BeganAt))
-	if elapsed < 0 || elapsed > time.Duration(r.DurationMillis)*time.Millisecond {
+	elapsed, duration := now.Sub(time.UnixMilli(r.BeganAt)), time.Duration(r.DurationMillis)*time.Millisecond
+	if elapsed < 0 || elapsed/maxOverdue > duration {
 		return 0
 	}
-	return elapsed
+	return min(elapsed, duration)
 }
 
 // rolloutsForBroker returns the roll-outs of the state with their times by this host's clock.
--- a/coordinator/rollouts_test.go
+++ b/coordinator/rollouts_test.go
@@ -253,7 +253,7 @@
 	began := time.UnixMilli(1_700_000_000_000)
 	r := declare.Rollout{RolloutOrder: declare.RolloutOrder{DurationMillis: 10_000, BeganAt: began.UnixMilli()}}
 	for after, want := range map[time.Duration]time.Duration{
-		0: 0, 4 * time.Second: 4 * time.Second, 10 * time.Second: 10 * time.Second, time.Hour: 0, -time.Hour: 0, -time.Second: 0,
+		0: 0, 4 * time.Second: 4 * time.Second, 10 * time.Second: 10 * time.Second, 30 * time.Second: 10 * time.Second, time.Hour: 0, -time.Hour: 0, -time.Second: 0,
 	} {
 		if got := elapsedSince(r, began.Add(after)); got != want {
 			t.Errorf("%v after the order by the clock, %v have passed, want %v", after, got, want)
