--- a/broker/account.go
+++ b/broker/account.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"maps"
 	"time"
 
 	"tanagerbarrow/account"
@@ -18,6 +19,8 @@
 	promisedUntil time.Time
 	// shares divides what entries may let through without a broker.
 	shares *account.Shares
+	// retiredAt is when the account was removed or lost its limit; zero while it has one.
+	retiredAt time.Time
 }
 
 // AccountShare is the part of a client account's requests that an entry may let through without a
@@ -32,28 +35,48 @@
 }
 
 // configureAccounts applies the limits of the client accounts of a configuration that is about to be in
-// force. An account that was renamed or has no limit any more is forgotten.
+// force. The meter of an account that was removed or has no limit any more is kept for a window, so
+// that the account doesn't get a second burst if it returns.
 func (b *Broker) configureAccounts(accounts []account.Account, now time.Time) {
 	before := b.accounts
 	b.accounts = map[string]*accountMeter{}
+	defer b.retireMeters(before, now)
 	for i := range accounts {
 		a := &accounts[i]
 		if !a.Limited() {
 			continue
 		}
 		m, bounds := before[a.Name], b.options.AccountBounds
+		if m == nil {
+			m = b.retiredMeters[a.Name]
+		}
 		if m == nil {
 			m = &accountMeter{
 				Meter:  account.NewMeter(a.RatePerSecond, bounds.BrokerBurst(a), b.initialLevel(a, before != nil), now),
 				shares: account.NewShares(bounds, bounds.Shared(a), now), name: a.Name,
 			}
 		}
+		m.retiredAt = time.Time{}
 		m.SetLimit(a.RatePerSecond, bounds.BrokerBurst(a), now)
 		m.shares.SetTotal(bounds.Shared(a))
 		b.accounts[a.Name] = m
 	}
 }
 
+// retireMeters keeps the meters that were in force before and are not any more, and forgets those that
+// have been kept for longer than a window.
+func (b *Broker) retireMeters(before map[string]*accountMeter, now time.Time) {
+	for name, m := range before {
+		if b.accounts[name] == nil {
+			m.retiredAt = now
+			b.retiredMeters[name] = m
+		}
+	}
+	maps.DeleteFunc(b.retiredMeters, func(_ string, m *accountMeter) bool {
+		return m.retiredAt.IsZero() || now.Sub(m.retiredAt) > b.options.AccountBounds.Window
+	})
+}
+
 // initialLevel returns the tokens of an account whose limit this broker has not known. A new account has all;
 // of one that an earlier broker knew, that one may have let all requests through, and so may the one before.
 func (b *Broker) initialLevel(a *account.Account, configured bool) float64 {
--- a/broker/account_test.go
+++ b/broker/account_test.go
@@ -196,3 +196,30 @@
 		})
 	}
 }
+
+// TestReturningAccountHasNoSecondBurst removes an account that has used its burst, and takes its limit away,
+// and brings it back at once: it gets the tokens of the time that has passed, as if it had stayed. A window
+// later it is as good as new.
+func TestReturningAccountHasNoSecondBurst(t *testing.T) {
+	for name, gone := range map[string]*route.Index{
+		"removed": route.NewIndex(&route.Configuration{Services: []route.Service{{Name: "s"}}}), "unlimited": accountIndex(0, 0),
+	} {
+		w := newTestBroker(t, "a", "a", "a")
+		w.options.AccountBounds = account.Bounds{Window: 5 * time.Second}
+		w.Configure(accountIndex(1, 0), nil, w.now)
+		first := w.grantsAs("north", 9, Answered)
+		w.now = w.now.Add(time.Second)
+		w.Configure(gone, nil, w.now)
+		w.now = w.now.Add(time.Second)
+		w.Configure(accountIndex(1, 0), nil, w.now)
+		if got := w.grantsAs("north", 9, Answered); first != 5 || got != 2 {
+			t.Errorf("%s: %d grants, then %d two seconds later", name, first, got)
+		}
+		w.Configure(gone, nil, w.now)
+		w.now = w.now.Add(6 * time.Second)
+		w.Configure(gone, nil, w.now)
+		if len(w.retiredMeters) != 0 {
+			t.Errorf("%s: %d meters are kept", name, len(w.retiredMeters))
+		}
+	}
+}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -70,6 +70,8 @@
 	rollouts map[string]*serviceRollout
 	// accounts holds the meters of the client accounts with a limit, by name.
 	accounts map[string]*accountMeter
+	// retiredMeters holds those of accounts that had a limit less than a window ago.
+	retiredMeters map[string]*accountMeter
 
 	lastServerNumber uint32
 	lastGrantID      uint64
@@ -115,7 +117,7 @@
 		options: o, zonesOut: map[string]bool{}, pools: map[string]*pool{},
 		servers: map[uint32]*Server{}, byID: map[string]*Server{}, entries: map[string]*entry{},
 		grants: map[uint64]*grant{}, crashSuspects: map[uint64]*crashSuspect{}, lastGrantID: o.GrantIDBase,
-		adoptedLimits: map[string]adoptedLimit{}, left: map[serverStart]bool{}, rollouts: map[string]*serviceRollout{},
+		adoptedLimits: map[string]adoptedLimit{}, retiredMeters: map[string]*accountMeter{}, left: map[serverStart]bool{}, rollouts: map[string]*serviceRollout{},
 		index: route.NewIndex(&route.Configuration{}), delays: newDelays(o.Regions, o.Zone),
 	}
 }
