Ignore the welcome of a broker that has stopped

An entry whose subscription was on its way while a control host stopped its broker and started another in the same term, as after a pause, took the welcome of the first one for that of the second. The second had never heard of the entry, which stayed without a configuration until its connection ended. A test of crowds met it once in nine runs beside load.

A stopped leader drops the events that are queued, and an entry ignores a welcome without a subscription. TestWelcomeOfAStoppedBrokerIsIgnored fails on the code before.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -146,6 +146,17 @@
 // stop ends run.
 func (l *leader) stop() { close(l.done) }
 
+// stopped reports whether stop was called. Events that are queued then are dropped: an entry that
+// subscribed would otherwise be welcomed by a broker that is gone.
+func (l *leader) stopped() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // post queues an event for run. It blocks while the queue is full, and drops the
 // event after stop.
 func (l *leader) post(event func(time.Time)) {
@@ -167,7 +178,7 @@
 func (l *leader) run() {
 	ticker := time.NewTicker(brokerTickPeriod)
 	defer ticker.Stop()
-	for {
+	for !l.stopped() {
 		select {
 		case <-l.done:
 			return
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -183,12 +183,17 @@
 }
 
 // handleWelcome starts to use the connection for asks. It returns an error if the
-// broker's term is older than one seen before.
+// broker's term is older than one seen before. A welcome to a subscription before the last
+// directory is ignored: the broker that sent it has stopped, and knows nothing of this entry if it
+// leads again.
 func (c *controlConn) handleWelcome(body []byte) error {
 	var w protocol.Welcome
 	if err := link.Decode(body, &w); err != nil {
 		return err
 	}
+	if !c.subscribed {
+		return nil
+	}
 	if !c.session.view.beginTerm(w.Term) {
 		return errors.Newf("the broker's term %d is older than the current term", w.Term)
 	}
--- a/gateway/search_test.go
+++ b/gateway/search_test.go
@@ -137,3 +137,50 @@
 		t.Errorf("the session uses a broker of term %d", s.view.currentTerm())
 	}
 }
+
+// TestWelcomeOfAStoppedBrokerIsIgnored lets a control host stop its broker and start another in the
+// same term while a subscription is on its way, as after a pause: the welcome of the first broker
+// arrives between the two directories. The entry took it for that of the second one, which had never
+// heard of the entry, and stayed without a configuration.
+func TestWelcomeOfAStoppedBrokerIsIgnored(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	leads := protocol.Directory{LeaderAddress: address, Term: 2}
+	subscriptions := make(chan struct{}, 100)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conn, subscribed := link.New(c), 0
+			go func() {
+				_ = conn.Run(func(kind link.Kind, _ []byte) {
+					switch kind {
+					case protocol.KindHello:
+						_ = conn.Send(protocol.KindDirectory, leads)
+					case protocol.KindSubscribe:
+						subscribed++
+						subscriptions <- struct{}{}
+						if subscribed == 1 {
+							_ = conn.Send(protocol.KindDirectory, protocol.Directory{Term: 2})
+							_ = conn.Send(protocol.KindWelcome, protocol.Welcome{Term: 2})
+							_ = conn.Send(protocol.KindDirectory, leads)
+							return
+						}
+						_ = conn.Send(protocol.KindWelcome, protocol.Welcome{Term: 2})
+					}
+				}, nil)
+			}()
+		}
+	}()
+	s := startSearch(t, address)
+	for n := range 2 {
+		select {
+		case <-subscriptions:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%d subscriptions arrived, want 2", n)
+		}
+	}
+	awaitBroker(t, s, address)
+}
