--- a/account/key.go
+++ b/account/key.go
@@ -28,9 +28,9 @@
 	if key == "" {
 		return d
 	}
-	mac := hmac.New(sha256.New, digestKey)
-	_, _ = mac.Write([]byte(key))
-	mac.Sum(d[:0])
+	keyed := hmac.New(sha256.New, digestKey)
+	_, _ = keyed.Write([]byte(key))
+	keyed.Sum(d[:0])
 	return d
 }
 
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -355,7 +355,7 @@
 	return n, err
 }
 
-// errUploadCut is returned for a response whose end can't be told from a reset.
+// errUploadCut is returned for a response whose end can't be distinguished from a reset.
 var errUploadCut = errors.New("the connection ended during the upload, the answer has no length")
 
 // endsWithConnection reports whether the response ends where its connection does. If the
