--- a/bench/crowd/calm_test.go
+++ b/bench/crowd/calm_test.go
@@ -44,7 +44,7 @@
 		if !act(c) {
 			t.Errorf("%s: not all was taken", name)
 		}
-		_ = c.SetReadDeadline(time.Now().Add(callerTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(eventTimeout))
 		res, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || res.StatusCode != http.StatusOK {
 			t.Errorf("%s: %v, %v", name, res, err)
--- a/bench/crowd/own_test.go
+++ b/bench/crowd/own_test.go
@@ -60,9 +60,9 @@
 // await waits until done returns true, and measures the processes meanwhile.
 func (w *ownWorld) await(what string, done func() bool) {
 	w.t.Helper()
-	for end := time.Now().Add(callerTimeout); !done(); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(eventTimeout); !done(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
-			w.t.Errorf("not so within %s: %s", callerTimeout, what)
+			w.t.Errorf("not so within %s: %s", eventTimeout, what)
 			return
 		}
 		w.measure()
--- a/bench/crowd/world_test.go
+++ b/bench/crowd/world_test.go
@@ -31,8 +31,8 @@
 	peerPort, metricsPort                 = 23010, 23011
 )
 
-// callerTimeout bounds the wait for an event, such as the answer to an ordinary request.
-const callerTimeout = 30 * time.Second
+// eventTimeout bounds the wait for an event, such as the answer to an ordinary request.
+const eventTimeout = 30 * time.Second
 
 // program is the path of the program under test.
 var program string
@@ -185,7 +185,7 @@
 // await waits until done returns true.
 func (w *world) await(what string, done func() bool) {
 	w.t.Helper()
-	w.awaitUntil(time.Now().Add(callerTimeout), what, done)
+	w.awaitUntil(time.Now().Add(eventTimeout), what, done)
 }
 
 // awaitUntil is await with an end of the wait.
@@ -193,7 +193,7 @@
 	w.t.Helper()
 	for ; !done(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
-			w.t.Errorf("not so within %s: %s", callerTimeout, what)
+			w.t.Errorf("not so within %s: %s", eventTimeout, what)
 			return
 		}
 	}
@@ -308,7 +308,7 @@
 // kept to their limits.
 func (w *world) check() {
 	w.t.Helper()
-	end := time.Now().Add(callerTimeout)
+	end := time.Now().Add(eventTimeout)
 	w.awaitUntil(end, "an ordinary GET is served", func() bool { return w.ordinary(http.MethodGet) })
 	w.awaitUntil(end, "an ordinary POST is served", func() bool { return w.ordinary(http.MethodPost) })
 	w.awaitUntil(end, "the readiness probe is answered", w.ready)
