--- a/broker/message.go
+++ b/broker/message.go
@@ -44,9 +44,6 @@
 	Route string
 	// ClientAccount is the name of the caller's client account; empty if there is none.
 	ClientAccount string
-	// Returning says that an entry has refused the request before and that its caller has come
-	// back at the time it was given.
-	Returning bool
 }
 
 // DetailedAsk is an [Ask] with its [Details].
--- a/broker/returns.go
+++ b/broker/returns.go
@@ -6,11 +6,11 @@
 const (
 	// maxReturns bounds the contents of requests that the broker remembers for a service.
 	maxReturns = 16_384
-	// returnTolerance is how much earlier than told, and returnPatience how much later, a caller
+	// returnTolerance is how much earlier than told, and returnGrace how much later, a caller
 	// may come back and count as one that did as it was told: callers' timers and new connections
 	// take a few milliseconds, and their entries may have to find a broker.
 	returnTolerance = 20 * time.Millisecond
-	returnPatience  = time.Second
+	returnGrace     = time.Second
 	// returnsExpiryPeriod is the time between two searches for contents to forget.
 	returnsExpiryPeriod = 500 * time.Millisecond
 )
@@ -66,10 +66,10 @@
 		r.contents[w.ask.Fingerprint] = c
 	}
 	c.asks++
-	c.usefulUntil = later(c.usefulUntil, now.Add(returnPatience))
+	c.usefulUntil = later(c.usefulUntil, now.Add(returnGrace))
 	x := c.refused
 	c.refused = nil
-	if x == nil || c.shared() || x.account != w.details.ClientAccount || now.After(x.promisedAt.Add(returnPatience)) {
+	if x == nil || c.shared() || x.account != w.details.ClientAccount || now.After(x.promisedAt.Add(returnGrace)) {
 		return nil
 	}
 	return x
@@ -83,7 +83,7 @@
 	}
 	c.refusals++
 	c.refused = &refusedRequest{w.details.ClientAccount, w.firstAt, now.Add(wait), w.objectiveAt, w.startTag}
-	c.usefulUntil = later(c.usefulUntil, now.Add(wait+returnPatience))
+	c.usefulUntil = later(c.usefulUntil, now.Add(wait+returnGrace))
 }
 
 // expire forgets the contents whose callers have not come back.
