Leave a control host as many links as its memory carries entries

The new bound on links gave a host of 280 MB 448 of them, though its memory carries about 630 entries: entries of a larger deployment would have been turned away. TestLinksOfStrangers and TestStrangersGiveWayToOneAnother pass.

--- a/coordinator/strangers.go
+++ b/coordinator/strangers.go
@@ -18,7 +18,7 @@
 	// goroutines. linkMemoryDivisor sets the part of the host's memory for all links, and
 	// linkDescriptorShare the part of its descriptors.
 	linkMemory          = 160 << 10
-	linkMemoryDivisor   = 4
+	linkMemoryDivisor   = 3
 	linkDescriptorShare = 0.4
 )
 
