--- a/broker/account.go
+++ b/broker/account.go
@@ -113,7 +113,7 @@
 }
 
 // promise returns the time until there is a token for a caller that is refused now: behind those that were
-// told a time before. A caller that can't wait so long takes none.
+// given a retry time before. A caller that can't wait so long takes none.
 func (m *accountMeter) promise(deadline time.Duration, now time.Time) time.Duration {
 	next := m.Wait(0, now)
 	if behind := m.promisedUntil.Sub(now) + m.Wait(1, now) - next; behind > next {
--- a/broker/admission.go
+++ b/broker/admission.go
@@ -128,7 +128,7 @@
 	return time.Duration(min(delay, maxExpectedDelay.Seconds()) * float64(time.Second))
 }
 
-// refuseEarlyReturn refuses a request that has come back before the time it was told, if no server
+// refuseEarlyReturn refuses a request that has come back before its retry time, if no server
 // is free for it now, with the same time, and reports whether it did. Otherwise a caller that
 // repeats its request at once and often would draw a place in the queue each time.
 func (b *Broker) refuseEarlyReturn(p *pool, w *pendingAsk, now time.Time) bool {
@@ -171,8 +171,8 @@
 	})
 }
 
-// refuseAsk refuses an ask that waits or would have to wait. Its caller is told when a slot is
-// expected to be free for it: behind the asks that wait now and the callers that were told before.
+// refuseAsk refuses an ask that waits or would have to wait. Its caller is given the time at which a slot is
+// expected to be free for it: behind the asks that wait now and the callers that were refused before.
 func (b *Broker) refuseAsk(p *pool, w *pendingAsk, reason Reason, now time.Time) {
 	p.discard(w)
 	p.served.record(w.ask.Priority, false)
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -90,7 +90,7 @@
 	expiresAt time.Time
 	// relay is the entry that relays the request, or nil.
 	relay *entry
-	// route is the name of the request's route, if its ask told it, and overdue says that its
+	// route is the name of the request's route, if its ask names it, and overdue says that its
 	// response counts as slow already.
 	route   string
 	overdue bool
--- a/broker/fair_test.go
+++ b/broker/fair_test.go
@@ -44,7 +44,7 @@
 		l := stock(560, seed)
 		l.abusers, l.length = 0.3, 10*time.Second
 		r := newSimulation(l).run()
-		patient, abusive := r.patience[false], r.patience[true]
+		patient, abusive := r.byBackoff[false], r.byBackoff[true]
 		if patient.inTimeShare() < abusive.inTimeShare()-0.03 {
 			t.Errorf("seed %d: %.3f of the patient callers' requests were in time, %.3f of the abusive ones'", seed, patient.inTimeShare(), abusive.inTimeShare())
 		}
--- a/broker/message.go
+++ b/broker/message.go
@@ -103,7 +103,7 @@
 	// be too long behind it.
 	ReasonDisplaced Reason = "displaced"
 	// ReasonEarlyReturn means that a request was refused before and has come back earlier than its
-	// caller was told.
+	// caller was given.
 	ReasonEarlyReturn Reason = "early_return"
 	// ReasonQueueTimeout means that no slot became free in time.
 	ReasonQueueTimeout Reason = "waited"
--- a/broker/order.go
+++ b/broker/order.go
@@ -89,13 +89,13 @@
 	ByObjective OrderRule = "objective"
 	// ByAccountShare: its client account has had less of its share.
 	ByAccountShare OrderRule = "account_share"
-	// ByReturn: its caller has come back when it was told.
+	// ByReturn: its caller has come back at its retry time.
 	ByReturn OrderRule = "return"
 )
 
 // compare returns whether an ask goes before another one, and the rule that decides: asks of a starved
 // priority first, then by priority, then those that can meet their objective, then by the fair
-// share of their client accounts, then those of callers that have come back when they were told.
+// share of their client accounts, then those of callers that have come back at their retry times.
 func (w *pendingAsk) compare(other *pendingAsk) (before bool, by OrderRule) {
 	switch {
 	case w.starved != other.starved:
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -47,7 +47,7 @@
 	shares  fairShares
 	served  servedCounts
 	returns returns
-	// lastReturn is the latest time for which a refused caller was told that a slot is free.
+	// lastReturn is the latest time that a refused caller was given as its retry time.
 	lastReturn time.Time
 	drain      drain
 }
@@ -68,13 +68,13 @@
 	// firstAt is when the caller's first attempt arrived, as far as the broker knows, and
 	// objectiveAt when its response must arrive to meet the objective.
 	firstAt, objectiveAt time.Time
-	// returning says that the request was refused and has come back at the time it was told, and
+	// returning says that the request was refused and has come back at its retry time, and
 	// starved that those of its priority are served too rarely.
 	returning, starved bool
 	// aheadBy is the rule by which the ask went before another one when it arrived; empty for
 	// none.
 	aheadBy OrderRule
-	// promisedAt is the time at which the caller was told to come back, if it has come back
+	// promisedAt is the retry time of the caller, if it has come back
 	// earlier; zero otherwise.
 	promisedAt time.Time
 	// startTag and weight are the ask's place in the fair shares and its account's weight there,
--- a/broker/returns.go
+++ b/broker/returns.go
@@ -6,8 +6,8 @@
 const (
 	// maxReturns bounds the contents of requests that the broker remembers for a service.
 	maxReturns = 16_384
-	// returnTolerance is how much earlier than told, and returnGrace how much later, a caller
-	// may come back and count as one that did as it was told: callers' timers and new connections
+	// returnTolerance is how much before its retry time, and returnGrace how much after it, a caller
+	// may come back and count as one that waited: callers' timers and new connections
 	// take a few milliseconds, and their entries may have to find a broker.
 	returnTolerance = 20 * time.Millisecond
 	returnGrace     = time.Second
@@ -37,7 +37,7 @@
 // refusedRequest is a request that was refused and may come back.
 type refusedRequest struct {
 	account string
-	// firstAt is when its first ask arrived, and promisedAt the time that its caller was told.
+	// firstAt is when its first ask arrived, and promisedAt the retry time of its caller.
 	firstAt, promisedAt time.Time
 	// objective is when its response would have to arrive.
 	objective time.Time
--- a/broker/simresult_test.go
+++ b/broker/simresult_test.go
@@ -16,7 +16,7 @@
 	// of those that wait as told and those that don't.
 	byAccount  map[int]*tally
 	byPriority map[int]*tally
-	patience   map[bool]*tally
+	byBackoff  map[bool]*tally
 	// slow counts the requests that began on a machine below its usual pace.
 	slow int
 	// crossed and crossedZone count the granted requests that left their region
@@ -38,9 +38,9 @@
 // tallies returns the tallies to which a request belongs.
 func (r *result) tallies(c *simRequest) []*tally {
 	if r.byAccount == nil {
-		r.byAccount, r.byPriority, r.patience = map[int]*tally{}, map[int]*tally{}, map[bool]*tally{}
+		r.byAccount, r.byPriority, r.byBackoff = map[int]*tally{}, map[int]*tally{}, map[bool]*tally{}
 	}
-	return []*tally{tallyOf(r.byAccount, c.account), tallyOf(r.byPriority, c.priority), tallyOf(r.patience, c.abusive)}
+	return []*tally{tallyOf(r.byAccount, c.account), tallyOf(r.byPriority, c.priority), tallyOf(r.byBackoff, c.abusive)}
 }
 
 // tallyOf returns the tally of a key and creates it if there is none.
--- a/coordinator/rollouts.go
+++ b/coordinator/rollouts.go
@@ -36,7 +36,7 @@
 }
 
 // noteRollouts notes the roll-outs that this host sees for the first time. The time that one has
-// taken so far is told by the clock of the day, unless that can't be.
+// taken so far is read from the clock of the day, unless that can't be.
 func (c *Coordinator) noteRollouts(state declare.State) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -39,7 +39,7 @@
 type knownVersion struct {
 	started int64
 	version string
-	// sentInTerm is the term of the leader that was told.
+	// sentInTerm is the term of the leader that they were sent to.
 	sentInTerm uint64
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -122,7 +122,7 @@
 	return v.rollouts.services[service]
 }
 
-// resultNumber returns the number by which the broker knows a server, if it is to be told how
+// resultNumber returns the number by which the broker knows a server, if it collects how
 // requests of the server's service end.
 func (v *view) resultNumber(s *server) (number uint32, reported bool) {
 	v.mu.Lock()
