Name the retry time and the report of shares for what they are

One thing was called promised, told and retry time; a function that sends an entry's shares was named by a figure of speech. Names and comments only; lint is clean, tests of broker and gateway pass.

--- a/broker/account_test.go
+++ b/broker/account_test.go
@@ -31,7 +31,7 @@
 	return w.onlyOutput()
 }
 
-// grantsAs asks as often as told and returns the number of grants, which end at once with an outcome.
+// grantsAs sends a number of asks and returns the number of grants, which end at once with an outcome.
 func (w *testBroker) grantsAs(name string, asks int, outcome Outcome) int {
 	granted := 0
 	for range asks {
@@ -67,12 +67,12 @@
 }
 
 // TestRefusedCallersAreToldTheirOwnTokens sends five times an account's limit for two seconds, of which
-// some is granted all the time. The times that refused callers are told must not be nearer together than its
+// some is granted all the time. The retry times of refused callers must not be nearer together than its
 // tokens: before, each grant began them anew, and the callers came back to tokens that others had.
 func TestRefusedCallersAreToldTheirOwnTokens(t *testing.T) {
 	w := newTestBroker(t, "a", "a", "a")
 	w.Configure(accountIndex(20, 0), nil, w.now)
-	from, told := w.now, 0
+	from, invited := w.now, 0
 	for range 200 {
 		w.now = w.now.Add(10 * time.Millisecond)
 		o := w.askAs("north", func(a *Ask) { a.DeadlineMillis = 1500 })
@@ -82,11 +82,11 @@
 			continue
 		}
 		if millis(o.Refusal.RetryMillis) <= 500*time.Millisecond {
-			told++
+			invited++
 		}
 	}
-	if most := int(20*(w.now.Sub(from)+500*time.Millisecond).Seconds()) + 1; told > most {
-		t.Errorf("%d callers were told to come back within their time, there are %d tokens", told, most)
+	if most := int(20*(w.now.Sub(from)+500*time.Millisecond).Seconds()) + 1; invited > most {
+		t.Errorf("%d callers have retry times within their deadlines, there are %d tokens", invited, most)
 	}
 }
 
--- a/broker/admission.go
+++ b/broker/admission.go
@@ -36,11 +36,11 @@
 	w.startTag = p.shares.tag(d.Details.ClientAccount)
 	if x := p.returns.take(w, now); x != nil {
 		w.firstAt, objective = x.firstAt, min(objective, x.objective.Sub(now))
-		w.returning = !now.Add(returnTolerance).Before(x.promisedAt)
+		w.returning = !now.Add(returnTolerance).Before(x.retryAt)
 		if w.returning {
 			w.startTag = min(w.startTag, x.startTag)
 		} else {
-			w.promisedAt = x.promisedAt
+			w.retryAt = x.retryAt
 		}
 	}
 	w.objectiveAt = now.Add(objective)
@@ -132,8 +132,8 @@
 // is free for it now, with the same time, and reports whether it did. Otherwise a caller that
 // repeats its request at once and often would draw a place in the queue each time.
 func (b *Broker) refuseEarlyReturn(p *pool, w *pendingAsk, now time.Time) bool {
-	wait := w.promisedAt.Sub(now)
-	if w.promisedAt.IsZero() {
+	wait := w.retryAt.Sub(now)
+	if w.retryAt.IsZero() {
 		return false
 	}
 	p.returns.remember(w, wait, now)
--- a/broker/fair_test.go
+++ b/broker/fair_test.go
@@ -67,7 +67,7 @@
 	alone := &pendingAsk{ask: Ask{Fingerprint: 8}}
 	r.take(alone, start)
 	r.remember(alone, time.Second, start)
-	if x := r.take(alone, start.Add(time.Second)); x == nil || !x.promisedAt.Equal(start.Add(time.Second)) {
+	if x := r.take(alone, start.Add(time.Second)); x == nil || !x.retryAt.Equal(start.Add(time.Second)) {
 		t.Errorf("a caller that comes back is %v", x)
 	}
 	r.expire(start.Add(time.Minute))
@@ -92,7 +92,7 @@
 	}
 	p.enqueue(arrive("b", 9, 600*time.Millisecond))
 	back := arrive("a", 1, time.Second)
-	if !back.returning || !back.promisedAt.IsZero() || p.enqueue(back) != 0 {
+	if !back.returning || !back.retryAt.IsZero() || p.enqueue(back) != 0 {
 		t.Errorf("the caller that came back is at another place: %+v", back)
 	}
 	if early := arrive("a", 3, 700*time.Millisecond); early.returning {
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -74,9 +74,9 @@
 	// aheadBy is the rule by which the ask went before another one when it arrived; empty for
 	// none.
 	aheadBy OrderRule
-	// promisedAt is the retry time of the caller, if it has come back
+	// retryAt is the retry time of the caller, if it has come back
 	// earlier; zero otherwise.
-	promisedAt time.Time
+	retryAt time.Time
 	// startTag and weight are the ask's place in the fair shares and its account's weight there,
 	// and charged says that the account has been charged for it.
 	startTag, weight float64
--- a/broker/returns.go
+++ b/broker/returns.go
@@ -37,8 +37,8 @@
 // refusedRequest is a request that was refused and may come back.
 type refusedRequest struct {
 	account string
-	// firstAt is when its first ask arrived, and promisedAt the retry time of its caller.
-	firstAt, promisedAt time.Time
+	// firstAt is when its first ask arrived, and retryAt the retry time of its caller.
+	firstAt, retryAt time.Time
 	// objective is when its response would have to arrive.
 	objective time.Time
 	// startTag is its place in the fair shares, which it keeps.
@@ -69,7 +69,7 @@
 	c.usefulUntil = later(c.usefulUntil, now.Add(returnGrace))
 	x := c.refused
 	c.refused = nil
-	if x == nil || c.shared() || x.account != w.details.ClientAccount || now.After(x.promisedAt.Add(returnGrace)) {
+	if x == nil || c.shared() || x.account != w.details.ClientAccount || now.After(x.retryAt.Add(returnGrace)) {
 		return nil
 	}
 	return x
--- a/gateway/accountshare.go
+++ b/gateway/accountshare.go
@@ -80,9 +80,9 @@
 	return held
 }
 
-// greetBroker tells a broker that has just welcomed this entry which shares it holds, and has it asked whether
+// reportShares sends a broker that has just welcomed this entry the shares that it holds, and has it asked whether
 // the configuration is the newest.
-func (c *controlConn) greetBroker(m protocol.Capabilities) {
+func (c *controlConn) reportShares(m protocol.Capabilities) {
 	if !m.Currency {
 		return
 	}
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -69,7 +69,7 @@
 		var m protocol.Capabilities
 		if err = link.Decode(body, &m); err == nil {
 			c.session.setCapabilities(c.conn, m)
-			c.greetBroker(m)
+			c.reportShares(m)
 		}
 	case protocol.KindView:
 		err = c.handleView(body)
