--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -31,7 +31,7 @@
 
 // scenarios are the cases by their names.
 var scenarios = map[string]scenario{
-	"drain-restart":  {khonkhGate, playDrainRestart},
+	"founder-disk":   {khonkhGate, playFounderDisk},
 	"absolute-form":  {khonkhGate, playAbsoluteForm},
 	"gone-pipelined": {emgcSerrana, playGonePipelined},
 	"stop-upload":    {khonkhGateGrown, playStopUpload},
--- a/review/_kit2/server.go
+++ b/review/_kit2/server.go
@@ -103,9 +103,21 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.leaves() {
+		h.Set("Server-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// leaves reports whether the server has said that it leaves. It says so in all its answers then.
+func (s *server) leaves() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // serve runs a request in a slot.
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
@@ -150,6 +162,9 @@
 		s.w.note("server %s drops %s: its connection was closed", s.id, id)
 		return
 	}
+	if s.leaves() {
+		h.Set("Server-Leaving", "1")
+	}
 	h.Set("Response-Signature", "sig-"+id)
 	w.WriteHeader(http.StatusOK)
 	_, _ = io.WriteString(w, "answer to "+id)
