--- a/review/_kit2/gone.go
+++ b/review/_kit2/gone.go
@@ -216,38 +216,3 @@
 	}
 	return broken, nil
 }
-
-// playAbsoluteForm: clients send the target in absolute form.
-func playAbsoluteForm(w *world, trouble bool) ([]string, error) {
-	entries, seen, err := startSmall(w, "safe", 4, 20*time.Millisecond)
-	if err != nil {
-		return nil, err
-	}
-	for n := range 5 {
-		id := fmt.Sprintf("%016x", n+1)
-		c, err := net.Dial("tcp", fmt.Sprint(entries[0].address, ":", frontPort))
-		if err != nil {
-			return nil, err
-		}
-		target := "/lepu270/2f?n=1"
-		if trouble {
-			target = "http://jepu9.example" + target
-		}
-		_, _ = io.WriteString(c, requestText(http.MethodGet, target, id, 4*time.Second))
-		res, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			return nil, err
-		}
-		w.note("client sends %s as %s %s, gets %d", id, http.MethodGet, target, res.StatusCode)
-		_ = c.Close()
-	}
-	var broken []string
-	seen.mu.Lock()
-	defer seen.mu.Unlock()
-	for _, x := range seen.all {
-		if x.target != "/lepu270/2f?n=1" {
-			broken = append(broken, fmt.Sprintf("UNASKED: request %s ran with target %s", x.id, x.target))
-		}
-	}
-	return broken, nil
-}
