--- a/review/_kit2/site.go
+++ b/review/_kit2/site.go
@@ -24,8 +24,12 @@
 var khonkhGate = site{
 	name: "khonkh-gate",
 	zones: []zone{
-		{"tsetserleg", "arkhangai"}, {"chinggis", "khentii"}, {"dalanzadgad", "umnugovi"},
-		{"tariat", "arkhangai"}, {"binder", "khentii"}, {"khanbogd", "umnugovi"},
+		{"tsetserleg", "arkhangai"},
+		{"chinggis", "khentii"},
+		{"dalanzadgad", "umnugovi"},
+		{"tariat", "arkhangai"},
+		{"binder", "khentii"},
+		{"khanbogd", "umnugovi"},
 	},
 	front:     "limits:\n  cpuShare: 0.32\n  cores: 1\n  memoryMb: 284\n  fdLimit: 4100\n  linkBandwidthMbps: 1000.0\n  diskMb: 0\n",
 	core:      coreLimits,
@@ -42,8 +46,12 @@
 var emgcSerrana = site{
 	name: "emgc-serrana-grown",
 	zones: []zone{
-		{"ciudad-1", "ciudad"}, {"norte-1", "barrionorte"}, {"sur-1", "distritosur"},
-		{"ciudad-2", "ciudad"}, {"norte-2", "barrionorte"}, {"sur-2", "distritosur"},
+		{"ciudad-1", "ciudad"},
+		{"norte-1", "barrionorte"},
+		{"sur-1", "distritosur"},
+		{"ciudad-2", "ciudad"},
+		{"norte-2", "barrionorte"},
+		{"sur-2", "distritosur"},
 	},
 	front:     "limits:\n  cpuShare: 0.16\n  cores: 1\n  memoryMb: 184\n  fdLimit: 4100\n  linkBandwidthMbps: 2.0\n  diskMb: 0\n",
 	core:      coreLimits,
