--- a/review/_kit2/client.go
+++ b/review/_kit2/client.go
@@ -9,15 +9,19 @@
 
 // client sends safe requests to entries, each on a connection of a pool, until stop is closed.
 type client struct {
-	w    *world
-	mu   sync.Mutex
-	sent map[string]time.Time
-	ok   int
-	all  int
+	w *world
+	// page is the end of the path of all requests; empty for one of its own for each.
+	page string
+
+	mu     sync.Mutex
+	sent   map[string]time.Time
+	answer map[string]int
+	ok     int
+	all    int
 }
 
 func (c *client) run(entries []*process, pause time.Duration, stop <-chan struct{}) {
-	c.sent = map[string]time.Time{}
+	c.sent, c.answer = map[string]time.Time{}, map[string]int{}
 	h := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 20}}
 	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
@@ -33,7 +37,11 @@
 }
 
 func (c *client) send(h *http.Client, entry *process, id string) {
-	r, err := http.NewRequest(http.MethodGet, fmt.Sprint("http://", entry.address, ":", frontPort, "/lepu270/", id), nil)
+	page := c.page
+	if page == "" {
+		page = id
+	}
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprint("http://", entry.address, ":", frontPort, "/lepu270/", page), nil)
 	if err != nil {
 		return
 	}
@@ -53,16 +61,26 @@
 	}
 	_ = res.Body.Close()
 	c.w.note("client gets %d for %s", res.StatusCode, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer[id] = res.StatusCode
 	if res.StatusCode == http.StatusOK {
-		c.mu.Lock()
 		c.ok++
-		c.mu.Unlock()
 	}
 }
 
-func (c *client) sentAt(id string) (time.Time, bool) {
+// served returns how many of the requests that were sent in a span got 200, and their number.
+func (c *client) served(from, to time.Time) (ok, all int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at, ok := c.sent[id]
-	return at, ok
+	for id, at := range c.sent {
+		if at.Before(from) || !at.Before(to) {
+			continue
+		}
+		all++
+		if c.answer[id] == http.StatusOK {
+			ok++
+		}
+	}
+	return ok, all
 }
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -32,6 +32,7 @@
 // scenarios are the cases by their names.
 var scenarios = map[string]scenario{
 	"founder-disk":   {khonkhGate, playFounderDisk},
+	"crashed-page":   {khonkhGate, playCrashedPage},
 	"absolute-form":  {khonkhGate, playAbsoluteForm},
 	"gone-pipelined": {emgcSerrana, playGonePipelined},
 	"stop-upload":    {khonkhGateGrown, playStopUpload},
--- a/review/_kit2/server.go
+++ b/review/_kit2/server.go
@@ -77,6 +77,16 @@
 	})
 }
 
+// gone reports whether the server has ended.
+func (s *server) gone() bool {
+	select {
+	case <-s.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // load is the value of the header Server-Load.
 func (s *server) load() string {
 	return fmt.Sprintf("%d,%d,%d", len(s.slots), s.waiting.Load(), serverSlots)
