End the request of a caller that leaves behind requests sent ahead

Cause: the HTTP server notices a leaving caller by reading one byte while a request is served. A byte of anything further takes that place, and it reads nothing more until the response is written. The body of the first request, its length and its kind play no part.

Ruled out: the path from the request's context to the server, which closes at once where nothing was sent behind, through a relay too.

Change: the guarded connection receives what comes behind a request, in chunks, so that the read of one byte ends only with the connection or with the response. The bytes are delivered when the next request is read, and dropped if the caller has left. They are taken from the budget of bodies, a sixteenth of it at most for a connection, and paced beyond 16 KB; without memory the socket is asked every 100 ms whether the peer has closed. A read delivers no byte beyond the end of a head or body, so that the HTTP server holds nothing of the next request.

--- a/bodybuf/budget.go
+++ b/bodybuf/budget.go
@@ -55,6 +55,10 @@
 	return false
 }
 
+// TryTake takes n bytes if at least leave bytes remain free then, and asks no other holder to release any. It reports
+// whether it took them.
+func (b *Budget) TryTake(n, leave int64) bool { return b.reserve(n, leave) }
+
 // Release returns bytes that were taken.
 func (b *Budget) Release(n int64) { b.release(n) }
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -61,6 +61,7 @@
 		return serving.NewGuard(serving.GuardOptions{
 			Name: name, MaxConnections: connections, Memory: g.heldBodies, Log: g.log, Metrics: g.options.Metrics,
 			MaxHeadBytes: func() int64 { return g.view.limits().MaxHeaderBytes },
+			PaceAhead:    func(ctx context.Context, bytes int) { g.pacer.awaitIncoming(ctx, bytes) },
 		})
 	}
 	all := guards{newGuard("callers", shares.callers), newGuard("relays", shares.relays), newGuard("readiness", shares.probes)}
--- a/gateway/pacing.go
+++ b/gateway/pacing.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// awaitIncoming waits until the link has received bytes at the pace of bodies, or until ctx ends.
+func (p *linkPacer) awaitIncoming(ctx context.Context, bytes int) {
+	if p != nil {
+		awaitBandwidth(ctx, p.in, bytes)
+	}
+}
+
 // incoming returns a reader that reads a body no faster than its share of the link
 // allows. The sender then finds the receive buffer full and stops. declared is the
 // length of the body, or negative if its sender declares none.
--- a/serving/guard.go
+++ b/serving/guard.go
@@ -46,6 +46,9 @@
 	MaxConnections int
 	// Memory is the budget from which long heads are taken; nil for no bound.
 	Memory *bodybuf.Budget
+	// PaceAhead, if it is set, delays the receipt of what callers send behind a request in progress, until the
+	// context ends.
+	PaceAhead func(ctx context.Context, bytes int)
 	// MaxHeadBytes returns the bound of a head in bytes; 0 or nil for that of the server.
 	MaxHeadBytes func() int64
 	// Log receives a line for each closed connection, and Metrics their numbers.
@@ -102,6 +105,7 @@
 	return func(c echo.Context) error {
 		if held, ok := c.Request().Context().Value(connKey{}).(*guardedConn); ok {
 			held.enter(phaseServing)
+			held.ahead.expectBody(c.Request().ContentLength)
 		}
 		return next(c)
 	}
@@ -264,7 +268,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &guardedConn{Conn: opened, guard: l.guard}
+		c := newGuardedConn(opened, l.guard)
 		if l.guard.admit(c) {
 			return c, nil
 		}
--- a/serving/guardedconn.go
+++ b/serving/guardedconn.go
@@ -30,7 +30,9 @@
 
 // guardedConn is a connection that counts what it holds.
 type guardedConn struct {
+	// Conn is ahead.
 	net.Conn
+	ahead *aheadConn
 	guard *Guard
 
 	phase atomic.Int32
@@ -53,6 +55,12 @@
 	limited bool
 }
 
+// newGuardedConn returns the connection of a caller.
+func newGuardedConn(c net.Conn, g *Guard) *guardedConn {
+	ahead := newAheadConn(c, g.options)
+	return &guardedConn{Conn: ahead, ahead: ahead, guard: g}
+}
+
 // enter begins a phase, unless it has begun.
 func (c *guardedConn) enter(p phase) {
 	if phase(c.phase.Swap(int32(p))) != p {
@@ -83,7 +91,7 @@
 	return holding{
 		phase: phase(c.phase.Load()), waiting: c.reading.Load() || c.writing.Load(),
 		waited: time.Duration(c.waitedTicks.Load()) * sweepPeriod, progress: c.transferred.Load(),
-		bytes: connectionBytes + c.headReserved.Load() + c.held.Load(),
+		bytes: connectionBytes + c.headReserved.Load() + c.held.Load() + c.ahead.behind(),
 	}
 }
 
@@ -198,13 +206,13 @@
 // response whose end is still on its way: after a response, what the caller has sent ahead is
 // read off first, for a bounded time.
 func (c *guardedConn) Close() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
+	half, ok := c.ahead.Conn.(interface{ CloseWrite() error })
 	if phase(c.phase.Load()) != phaseResponse || c.writing.Load() || !ok || half.CloseWrite() != nil {
 		return c.closeNow()
 	}
 	go func() {
 		c.limitRead(time.Now().Add(lingerTime))
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+		_, _ = io.CopyN(io.Discard, c.ahead.Conn, lingerBytes)
 		_ = c.closeNow()
 	}()
 	return nil
@@ -220,5 +228,6 @@
 // closeNow closes the connection at once.
 func (c *guardedConn) closeNow() error {
 	c.guard.remove(c)
+	c.ahead.release()
 	return c.Conn.Close()
 }
--- a/serving/timeouts.go
+++ b/serving/timeouts.go
@@ -72,6 +72,9 @@
 	return c.Conn.SetReadDeadline(time.Now().Add(limit))
 }
 
+// NetConn returns the connection below.
+func (c *timedConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite ends what is sent, and leaves what is received open.
 func (c *timedConn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
