Answer requests that were sent ahead of a stop

Callers saw: requests that they had sent behind another one, and that a stopping entry had long read, got no answer. Their connection closed behind the response to the first.

Cause: from 2.3 s after SIGTERM each response closed its connection, whatever had been received behind it, and the shutdown of the HTTP server does so by itself from 5.0 s on.

The HTTP server is shut down once no connection has anything left to answer, or 0.3 s before the end of the grace period. The two races of the uploads' test on its own error are gone.

Red before: TestStopAnswersRequestsSentAhead in 10 of 10 forms (one, several, orders with and without a length, and a part of one behind a request that ends within the stop or doesn't). Now all pass, with the race detector too.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -203,8 +203,9 @@
 		c.Response().Header().Set("WWW-Authenticate", g.options.Dialect.KeyScheme)
 	}
 	if e.Code == codeStopping {
-		// The rest of a body is not read.
-		c.Response().Header().Set("Connection", "close")
+		if closesAfterRefusal(k) {
+			c.Response().Header().Set("Connection", "close")
+		}
 		retryAfter = stoppingRetryAfter
 	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
@@ -216,6 +217,27 @@
 	return c.String(status, e.Code+"\n")
 }
 
+// arrivedBodyWait bounds the reading of a body that has arrived with a request that is refused.
+const arrivedBodyWait = 5 * time.Millisecond
+
+// closesAfterRefusal reports whether a stopping entry closes the connection of a request that it has not run: if the caller has
+// sent nothing behind it, and if the body is still arriving, since a refusal doesn't wait for it.
+func closesAfterRefusal(k *callerRequest) bool {
+	ctx := k.request.Context()
+	if k.request.ContentLength != 0 && !k.progress.receivedAll.Load() {
+		if serving.SentAhead(ctx) < k.request.ContentLength {
+			return true
+		}
+		serving.LimitBody(ctx, time.Now().Add(arrivedBodyWait))
+		_, err := io.CopyN(io.Discard, k.request.Body, serving.SentAhead(ctx)+1)
+		serving.BodyRead(ctx)
+		if !errors.Is(err, io.EOF) {
+			return true
+		}
+	}
+	return serving.SentAhead(ctx) == 0
+}
+
 // writeResponse sends a backend server's response to the caller.
 func (g *Gateway) writeResponse(c echo.Context, k *callerRequest, res response) error {
 	h := c.Response().Header()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -26,6 +26,8 @@
 	// the time that is left when connections are closed whose responses are still being written.
 	stopMargin  = 700 * time.Millisecond
 	closeMargin = 300 * time.Millisecond
+	// shutdownLimit bounds the close of connections that have nothing more to answer.
+	shutdownLimit = 50 * time.Millisecond
 )
 
 // stop fails the readiness probe, lets callers close their connections, and
@@ -52,7 +54,10 @@
 	var stopped errgroup.Group
 	for _, server := range []*serving.Server{callerServer, relayServer} {
 		if server != nil {
-			stopped.Go(func() error { return server.Shutdown(grace - closeMargin - time.Since(started)) })
+			stopped.Go(func() error {
+				server.AwaitAnswers(grace - closeMargin - time.Since(started))
+				return server.Shutdown(shutdownLimit)
+			})
 		}
 	}
 	return stopped.Wait()
--- a/gateway/stopanswers_test.go
+++ b/gateway/stopanswers_test.go
@@ -93,12 +93,14 @@
 			length = "Transfer-Encoding: chunked"
 		}
 		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 9000\r\n%s\r\n\r\n", u.path, idHeader, u.id, timeHeader, length)
-		for left := u.bytes; left > 0 && err == nil; left -= 2000 {
+		for left := u.bytes; left > 0; left -= 2000 {
 			part := strings.Repeat("b", min(left, 2000))
 			if u.chunked {
 				part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 			}
-			_, err = io.WriteString(c, part)
+			if _, err := io.WriteString(c, part); err != nil {
+				return
+			}
 		}
 		if u.chunked {
 			_, _ = io.WriteString(c, "0\r\n\r\n")
--- a/serving/guard.go
+++ b/serving/guard.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// SentAhead returns how many bytes were received behind a request.
+func SentAhead(ctx context.Context) int64 {
+	if held, ok := ctx.Value(connKey{}).(*guardedConn); ok {
+		return held.ahead.behind()
+	}
+	return 0
+}
+
 // LimitBody makes reads of the body of a request fail with os.ErrDeadlineExceeded after end.
 func LimitBody(ctx context.Context, end time.Time) {
 	if held, ok := ctx.Value(connKey{}).(*guardedConn); ok {
@@ -148,6 +156,18 @@
 	return len(g.conns)
 }
 
+// busy reports whether any connection has a request that is in progress or was sent ahead.
+func (g *Guard) busy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if phase(c.phase.Load()) != phaseIdle || c.ahead.behind() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // headBytes returns the memory of all long heads.
 func (g *Guard) headBytes() int64 {
 	g.mu.Lock()
--- a/serving/server.go
+++ b/serving/server.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// AwaitAnswers waits until no connection has a request that is in progress or was sent ahead, at most for the given
+// time. [Server.Shutdown] would close connections without an answer to what was sent ahead. A server without a guard
+// doesn't wait.
+func (s *Server) AwaitAnswers(limit time.Duration) {
+	if s.guard == nil {
+		return
+	}
+	for until := time.Now().Add(limit); s.guard.busy() && time.Now().Before(until); {
+		time.Sleep(drainPollPeriod)
+	}
+}
+
 // drainPollPeriod is the time between two checks of the open connections of a
 // draining server; it is a small part of the time that a restart takes.
 const drainPollPeriod = 20 * time.Millisecond
@@ -114,11 +126,11 @@
 func (s *Server) DisableKeepAlives(disabled bool) { s.keepAlivesDisabled.Store(disabled) }
 
 // closeAfterResponse is middleware that sets "Connection: close" on responses
-// while keep-alives are disabled.
+// while keep-alives are disabled, but for those behind which the caller has already sent more: these are answered too.
 func (s *Server) closeAfterResponse(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		c.Response().Before(func() {
-			if s.keepAlivesDisabled.Load() {
+			if s.keepAlivesDisabled.Load() && SentAhead(c.Request().Context()) == 0 {
 				c.Response().Header().Set("Connection", "close")
 			}
 		})
