Show that endless heads of servers keep to the memory

Another operator's report: a faulty server sent bytes that were no answer without end, in a head or in a body, and the machine that had called it ran out of memory.

It doesn't happen here. TestEndlessResponsesAreGivenUp and TestEndlessBodiesKeepToTheMemory covered bodies; 200 exchanges at once with heads of short fields, one long field, informational responses and trailers are added.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -234,3 +234,66 @@
 		}
 	}
 }
+
+// TestEndlessHeadsKeepToTheMemory guards against servers whose heads don't end: what is kept of them must stay below the memory
+// of the host, and requests to another service must be answered meanwhile.
+func TestEndlessHeadsKeepToTheMemory(t *testing.T) {
+	for _, part := range []struct{ name, start, repeat string }{
+		{"short fields", "HTTP/1.1 200 X\r\n", "a:\r\n"},
+		{"short fields of different names", "HTTP/1.1 200 X\r\n", differentFields(1000)},
+		{"short fields of an informational response", "HTTP/1.1 103 X\r\n", "a:\r\n"},
+		{"one field", "HTTP/1.1 200 X\r\na: ", "rot rot "},
+		{"short trailers", "HTTP/1.1 200 X\r\n" + idHeader + ": id-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a:\r\n"},
+	} {
+		t.Run(part.name, func(t *testing.T) {
+			const hostMemory, requests = 184 << 20, 200
+			defer debug.SetMemoryLimit(debug.SetMemoryLimit(hostMemory * 6 / 10))
+			sound := scriptedServer(t, func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "whole") })
+			bad := startEndlessServer(t, part.start, strings.Repeat(part.repeat, 1+2000/len(part.repeat)), 20*time.Millisecond)
+			f := newFakeBroker(t)
+			f.config = testConfig()
+			f.servers = []protocol.Server{
+				{Number: 1, ID: "server-1", Service: "s", Address: bad.address, AvailabilityZone: "a", Slots: 4 * requests},
+				{Number: 2, ID: "server-2", Service: "other", Address: sound, AvailabilityZone: "a", Slots: 4 * requests},
+			}
+			f.decide = func(a broker.Ask) (uint32, *broker.Refusal, bool) {
+				if a.Service == "other" {
+					return 2, nil, false
+				}
+				return 1, nil, false
+			}
+			e := startEntry(t, f, zerolog.Nop())
+			e.heldBodies = newHeldBodies(hostMemory)
+			stop := heapPeak()
+			var waiting sync.WaitGroup
+			for range requests {
+				waiting.Go(func() {
+					if res, _ := e.sendWithin(t, http.MethodPost, "/once/x", "b", 3*time.Second); res.StatusCode < http.StatusInternalServerError {
+						t.Errorf("a response without end returned %d", res.StatusCode)
+					}
+				})
+			}
+			for range 20 {
+				if res, text := e.sendWithin(t, http.MethodGet, "/other/x", "", 30*time.Second); res.StatusCode != http.StatusOK || text != "whole" {
+					t.Errorf("a sound server's response: %d, %d bytes", res.StatusCode, len(text))
+				}
+			}
+			waiting.Wait()
+			if peak := stop(); peak > hostMemory {
+				t.Errorf("the heap reached %d MB of %d", peak>>20, hostMemory>>20)
+			} else {
+				t.Logf("the heap reached %d MB", peak>>20)
+			}
+			bad.awaitClosed(t)
+		})
+	}
+}
+
+// differentFields returns lines of short fields with different names.
+func differentFields(n int) string {
+	var all strings.Builder
+	for i := range n {
+		fmt.Fprintf(&all, "%x:\r\n", i)
+	}
+	return all.String()
+}
