Count responses among what a stopping entry must still transfer

Callers saw: 12 requests at once with responses of 100,000 bytes over a link of 2 Mbit/s, begun 0.3 s after a stop, were all run, and each response was cut in its middle.

Cause: the decision which requests are refused counted the bodies of requests only. Responses share the link on their way to callers.

Change: the usual length of a route's responses counts as bytes to transfer, and the rest of one that has been received. A response that doesn't fit beside those being written gets 504 in its place. Requests that take longer than expected are given up 0.25 s after the last planned response, not at once.

Red before: TestStopRefusesRequestsWhoseResponsesDontFit, 12 of 12 cut in both forms. Now each is whole or refused as not run, and some are served.

--- a/gateway/estimate.go
+++ b/gateway/estimate.go
@@ -40,9 +40,16 @@
 
 // requestEstimate is what is expected of a kind of request.
 type requestEstimate struct {
-	// response is the time in seconds from the last byte that is sent to a backend server to the end of the
-	// response to the caller, and body the length of the request's body in bytes.
-	response, body estimate
+	// response is the time in seconds from the last byte that is sent to a backend server to the last one of its
+	// response. body and reply are the lengths of both bodies in bytes.
+	response, body, reply estimate
+}
+
+// expectation is what is expected of a request: the time of its response, and the usual lengths of its body and of
+// the response in bytes; 0 if they aren't known.
+type expectation struct {
+	response    time.Duration
+	body, reply int64
 }
 
 // requestEstimates are what is expected of requests, by their kinds. It is safe for concurrent use.
@@ -56,8 +63,8 @@
 	return &requestEstimates{kind: map[requestKind]*requestEstimate{}}
 }
 
-// record adds a request that was answered after a time, with a body of the given length; 0 for none.
-func (s *requestEstimates) record(kind requestKind, response time.Duration, bodyBytes int) {
+// record adds a request that was answered. A body of length 0 is none.
+func (s *requestEstimates) record(kind requestKind, seen expectation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, k := range []requestKind{kind, {service: kind.service}} {
@@ -69,16 +76,16 @@
 			known = &requestEstimate{}
 			s.kind[k] = known
 		}
-		known.response.add(response.Seconds())
-		if bodyBytes > 0 {
-			known.body.add(float64(bodyBytes))
+		known.response.add(seen.response.Seconds())
+		known.reply.add(float64(seen.reply))
+		if seen.body > 0 {
+			known.body.add(float64(seen.body))
 		}
 	}
 }
 
-// expected returns the time within which the response to a request is expected, and the usual length of its body in
-// bytes. If nothing is known of them, they are fallback and 0.
-func (s *requestEstimates) expected(kind requestKind, fallback time.Duration) (response time.Duration, bodyBytes int64) {
+// expected returns what is expected of a request. response is the time of the response if nothing is known.
+func (s *requestEstimates) expected(kind requestKind, response time.Duration) expectation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.kind[kind]
@@ -86,7 +93,10 @@
 		known = s.kind[requestKind{service: kind.service}]
 	}
 	if known == nil {
-		return fallback, 0
+		return expectation{response: response}
+	}
+	return expectation{
+		response: time.Duration(known.response.upper() * float64(time.Second)),
+		body:     int64(known.body.mean), reply: int64(known.reply.mean),
 	}
-	return time.Duration(known.response.upper() * float64(time.Second)), int64(known.body.mean)
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -108,6 +108,9 @@
 	ctx, done := g.track(k, k.route.LatencyObjective)
 	defer done()
 	res, err := g.run(ctx, k)
+	if err == nil {
+		err = g.answer(k, res)
+	}
 	if err != nil {
 		return g.writeError(c, k, stoppingError(ctx, err), res.retryAfter)
 	}
@@ -124,12 +127,23 @@
 	return g.forward(ctx, k)
 }
 
+// answer records that a request has its response. It returns an error if a stopping entry can't write it in time.
+func (g *Gateway) answer(k *callerRequest, res response) error {
+	if res.status < http.StatusInternalServerError {
+		g.estimates.record(k.kind(), k.progress.seen(k.body.Len(), res.body.Len()))
+	}
+	if g.requests.answer(&k.progress, res.body.Len()) {
+		return nil
+	}
+	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeStopping,
+		"this entry is stopping and can't write %d bytes of the response before it ends", res.body.Len())
+}
+
 // track makes a request known to a stop of the process until done is called. response is the expected
 // time of the response if nothing is known of such requests. The returned context ends if the request must not be
 // passed on or waited for any more.
 func (g *Gateway) track(k *callerRequest, response time.Duration) (ctx context.Context, done func()) {
-	k.progress.deadline = k.deadline
-	k.progress.response, k.progress.usual = g.estimates.expected(k.kind(), response)
+	k.progress.deadline, k.progress.expected = k.deadline, g.estimates.expected(k.kind(), response)
 	k.progress.relayed.Store(g.path.lost())
 	return g.requests.add(k.request, &k.progress), func() { g.requests.remove(&k.progress) }
 }
@@ -249,11 +263,8 @@
 	}
 	c.Response().WriteHeader(res.status)
 	serving.Holds(c.Request().Context(), k.body.Len()+res.body.Len())
-	err := writeBody(c.Response(), res.body, g.pacer.outgoing(c.Request().Context(), res.body.Len()))
+	err := writeBody(c.Response(), res.body, k.progress.paceReply(g.pacer.outgoing(c.Request().Context(), res.body.Len())))
 	g.recordRequest(k, res.status, nil)
-	if err == nil && res.status < http.StatusInternalServerError {
-		g.estimates.record(k.kind(), k.progress.sinceSent(), k.body.Len())
-	}
 	return errors.Wrap(err, "write the response to the caller")
 }
 
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -35,30 +35,34 @@
 	relayed atomic.Bool
 	// sentAt is when the last part of the body was sent, or the attempt began, in Unix nanoseconds.
 	sentAt atomic.Int64
-	// response is the expected time of the response, and usual the usual length of such bodies in bytes.
-	response time.Duration
-	usual    int64
+	// expected is what was expected of the request when it came.
+	expected expectation
+	// replyBytes is the length of the response in bytes once it was received, and replied how many of them were written.
+	replyBytes, replied atomic.Int64
 
-	// The fields below belong to the lock of requestsInProgress. passedOn says that a backend server may have
-	// a part of the request, refused that it must not be passed on, and kept that the plan of a stop has kept it.
-	passedOn, refused, kept bool
+	// The fields below belong to the lock of requestsInProgress. passedOn says that a backend server may have a part
+	// of the request, answered that its response was received, refused that it must not be passed on, and kept that the
+	// plan of a stop has kept it.
+	passedOn, answered, refused, kept bool
 }
 
 // need returns what the request still needs. The caller holds the lock.
 func (p *progress) need(now time.Time) need {
-	n := need{
-		openEnded: p.declared < 0 && !p.receivedAll.Load(), response: p.response,
-		limit: p.deadline.Sub(now), passedOn: p.passedOn, kept: p.kept,
+	n := need{limit: p.deadline.Sub(now), passedOn: p.passedOn, kept: p.kept}
+	if p.answered {
+		n.reply = max(0, paced(p.replyBytes.Load())-p.replied.Load())
+		return n
 	}
+	n.openEnded, n.response = p.declared < 0 && !p.receivedAll.Load(), p.expected.response
+	n.reply = paced(p.expected.reply)
 	received, total := p.received.Load(), p.declared
 	if total < 0 {
 		total = received
 		if n.openEnded {
-			total = max(received, p.usual)
+			total = max(received, p.expected.body)
 		}
 	}
-	if total < minPacedBytes {
-		// Short bodies don't wait for the link.
+	if total = paced(total); total == 0 {
 		return n
 	}
 	n.receive, n.send = max(0, total-received), total
@@ -71,6 +75,14 @@
 	return n
 }
 
+// paced returns how many bytes of a body wait for the link: none of a short one.
+func paced(bytes int64) int64 {
+	if bytes < minPacedBytes {
+		return 0
+	}
+	return bytes
+}
+
 // read returns a reader of the body that records how much has arrived.
 func (p *progress) read(body io.Reader) io.Reader { return &countedReader{in: body, progress: p} }
 
@@ -102,8 +114,23 @@
 	}
 }
 
-// sinceSent returns the time since the request was sent.
-func (p *progress) sinceSent() time.Duration { return time.Since(time.Unix(0, p.sentAt.Load())) }
+// paceReply is [progress.pace] for the response.
+func (p *progress) paceReply(pace func(bytes int)) func(bytes int) {
+	if pace == nil {
+		return nil
+	}
+	return func(bytes int) {
+		pace(bytes)
+		p.replied.Add(int64(bytes))
+	}
+}
+
+// seen returns what the request has turned out to be once its response was received.
+func (p *progress) seen(bodyBytes, replyBytes int) expectation {
+	return expectation{
+		response: time.Since(time.Unix(0, p.sentAt.Load())), body: int64(bodyBytes), reply: int64(replyBytes),
+	}
+}
 
 // requestsInProgress are the requests that an entry has taken and not answered yet. It is safe for concurrent use.
 type requestsInProgress struct {
@@ -112,7 +139,7 @@
 
 	mu  sync.Mutex
 	all map[*progress]struct{}
-	// end is when a stopping entry ends all requests; zero while it isn't stopping.
+	// end is when the last response of a stopping entry is due; zero while it isn't stopping.
 	end time.Time
 }
 
@@ -162,6 +189,28 @@
 	p.passedOn = false
 }
 
+// answer records that the response to a request was received, with a body of the given length. It returns false if a
+// stopping entry can't write it any more together with those that it writes already.
+func (s *requestsInProgress) answer(p *progress, replyBytes int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bytes := paced(int64(replyBytes))
+	if !s.end.IsZero() && bytes > 0 {
+		now := time.Now()
+		for other := range s.all {
+			if other.answered {
+				bytes += other.need(now).reply
+			}
+		}
+		if transferTime(bytes, s.rate()) > s.end.Sub(now) {
+			return false
+		}
+	}
+	p.replyBytes.Store(int64(replyBytes))
+	p.answered = true
+	return true
+}
+
 // refuseUnanswerable refuses the requests that can't be answered before the end of a stop. The caller holds the lock.
 func (s *requestsInProgress) refuseUnanswerable() {
 	if s.end.IsZero() {
@@ -190,13 +239,13 @@
 	}
 }
 
-// stop refuses, until the end of a stop, the requests that can't be answered before it, and then ends all
-// that are left. It returns their number; 0 if ctx ends before.
-func (s *requestsInProgress) stop(ctx context.Context, end time.Time) (left int) {
+// stop refuses the requests that can't be answered before end, and gives up those that are left later, at giveUp, when servers
+// and links were slower than expected. It returns their number; 0 if ctx ends before.
+func (s *requestsInProgress) stop(ctx context.Context, end, giveUp time.Time) (left int) {
 	s.mu.Lock()
 	s.end = end
 	s.mu.Unlock()
-	for ; time.Now().Before(end); sleep(ctx, min(planPeriod, time.Until(end))) {
+	for ; time.Now().Before(giveUp); sleep(ctx, min(planPeriod, time.Until(giveUp))) {
 		if ctx.Err() != nil {
 			return 0
 		}
@@ -207,7 +256,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for p := range s.all {
-		if !p.refused {
+		if !p.refused && !p.answered {
 			left++
 			p.refuse()
 		}
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -62,6 +62,9 @@
 	ctx, done := g.track(k, 0)
 	defer done()
 	res, err := g.runRelayed(ctx, k, a)
+	if err == nil {
+		err = g.answer(k, res)
+	}
 	if err != nil {
 		return g.writeRelayError(c, k, stoppingError(ctx, err))
 	}
@@ -76,10 +79,7 @@
 	}
 	c.Response().WriteHeader(res.status)
 	serving.Holds(r.Context(), k.body.Len()+res.body.Len())
-	err = writeBody(c.Response(), res.body, g.pacer.outgoing(r.Context(), res.body.Len()))
-	if err == nil && res.status < http.StatusInternalServerError {
-		g.estimates.record(k.kind(), k.progress.sinceSent(), k.body.Len())
-	}
+	err = writeBody(c.Response(), res.body, k.progress.paceReply(g.pacer.outgoing(r.Context(), res.body.Len())))
 	return errors.Wrap(err, "write the response to the other entry")
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -22,10 +22,12 @@
 	// drainMargin is the time between the close of the connections that are still idle and the last response. Until
 	// then callers have had time to use each of them once.
 	drainMargin = 300 * time.Millisecond
-	// stopMargin is the time between the end of the last requests and that of the grace period, and closeMargin
-	// the time that is left when connections are closed whose responses are still being written.
-	stopMargin  = 700 * time.Millisecond
-	closeMargin = 300 * time.Millisecond
+	// stopMargin is the time between the last response that is planned and the end of the grace period. Requests that
+	// take longer than expected are given up giveUpMargin before that end, and responses that are still being
+	// written are cut closeMargin before it.
+	stopMargin   = 700 * time.Millisecond
+	giveUpMargin = 450 * time.Millisecond
+	closeMargin  = 300 * time.Millisecond
 	// shutdownLimit bounds the close of connections that have nothing more to answer.
 	shutdownLimit = 50 * time.Millisecond
 )
@@ -42,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		if left := g.requests.stop(ctx, started.Add(grace-stopMargin)); left > 0 {
+		if left := g.requests.stop(ctx, started.Add(grace-stopMargin), started.Add(grace-giveUpMargin)); left > 0 {
 			g.log.Warn().Str("event", "requests_given_up").Int("requests", left).Send()
 		}
 	}()
--- a/gateway/stopanswers_test.go
+++ b/gateway/stopanswers_test.go
@@ -35,17 +35,22 @@
 
 // startStopped starts an entry whose backend server works for the given time.
 func startStopped(t *testing.T, work time.Duration) *stoppedWorld {
+	return startStoppedWithResponses(t, work, "whole")
+}
+
+// startStoppedWithResponses is startStopped with another body of the responses.
+func startStoppedWithResponses(t *testing.T, work time.Duration, body string) *stoppedWorld {
 	w := &stoppedWorld{ran: map[string]int{}}
 	w.broker, w.testEntry = setUp(t, scriptedServer(t, func(c net.Conn, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		if r.ContentLength >= 0 && int64(len(body)) < r.ContentLength {
+		received, _ := io.ReadAll(r.Body)
+		if r.ContentLength >= 0 && int64(len(received)) < r.ContentLength {
 			return
 		}
 		w.mu.Lock()
 		w.ran[r.Header.Get(idHeader)]++
 		w.mu.Unlock()
 		time.Sleep(work)
-		respond(c, r, http.StatusOK, "", "whole")
+		respond(c, r, http.StatusOK, "", body)
 	}))
 	w.makeThin()
 	return w
--- a/gateway/stoplate_test.go
+++ b/gateway/stoplate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -56,3 +57,28 @@
 		})
 	}
 }
+
+// TestStopRefusesRequestsWhoseResponsesDontFit guards against responses that are cut by a stop because the link
+// can't carry all of them: what can't be answered must be refused before it runs, and the rest arrive whole.
+func TestStopRefusesRequestsWhoseResponsesDontFit(t *testing.T) {
+	for _, path := range []string{"/once/x", "/safe/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			w := startStoppedWithResponses(t, 100*time.Millisecond, strings.Repeat("w", 100_000))
+			front := w.listenFor(t, w.serve, w.newGuards().callers)
+			form := upload{path: path, bytes: 100}
+			if status, err := form.send(front.Address()); status != http.StatusOK {
+				t.Fatal("a request in calm: ", status, err)
+			}
+			stopped := make(chan error, 1)
+			go func() { stopped <- w.stop(front, nil) }()
+			time.Sleep(300 * time.Millisecond)
+			if served := w.check(t, front.Address(), uploads(12, form)); served == 0 {
+				t.Error("none was served")
+			}
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/gateway/stopplan.go
+++ b/gateway/stopplan.go
@@ -8,11 +8,12 @@
 
 // need is what a request in progress still needs before its caller has the response.
 type need struct {
-	// receive and send are the bytes of its body that must still be received and sent.
-	receive, send int64
+	// receive and send are the bytes of its body that must still be received and sent, and reply those of the
+	// response that must still be written.
+	receive, send, reply int64
 	// openEnded says that more bytes may come than are known, since the caller declared no length.
 	openEnded bool
-	// response is the expected time from the last byte that is sent to the end of the response.
+	// response is the expected time from the last byte that is sent to a backend server to the last one of its response.
 	response time.Duration
 	// limit is the time after which the request ends in any case.
 	limit time.Duration
@@ -23,8 +24,8 @@
 	kept bool
 }
 
-// bytes returns how many bytes of its body must still be transferred.
-func (n need) bytes() int64 { return n.receive + n.send }
+// bytes returns how many bytes must still be transferred.
+func (n need) bytes() int64 { return n.receive + n.send + n.reply }
 
 // rank orders requests by their claim to the rest of the time: those first that can't be refused
 // any more, and last those whose end isn't known.
--- a/gateway/stopplan_test.go
+++ b/gateway/stopplan_test.go
@@ -38,6 +38,8 @@
 		{"a long response", []need{{response: 2 * time.Second, limit: forEver}}, time.Second, rate, []int{0}},
 		{"a long response that its deadline ends", []need{{response: 2 * time.Second, limit: time.Second}}, time.Second, rate, nil},
 		{"a body behind which a long response follows", []need{upload(20_000), with(upload(20_000), func(n *need) { n.response = 300 * time.Millisecond })}, time.Second, rate, []int{1}},
+		{"responses that don't fit together", []need{{reply: 60_000, limit: forEver}, {reply: 50_000, limit: forEver}}, time.Second, rate, []int{0}},
+		{"a response takes its part", []need{{reply: 60_000, passedOn: true}, upload(25_000)}, time.Second, rate, []int{1}},
 		{"no body doesn't wait for others", []need{upload(40_000), {response: 900 * time.Millisecond, limit: forEver}}, time.Second, rate, nil},
 	} {
 		got := unanswerable(c.needs, c.left, c.rate)
