Finish requests that were sent ahead of a shutdown

Callers saw: a server that shuts down closed their connection behind the response in progress, although it had received further requests on it. Entries of the gateway don't any more; all other roles did.

Cause: the shutdown of the HTTP server ends each connection behind its current request.

Change: Shutdown first waits, within its time, until nothing that was sent ahead is left. The watch of a connection tells its deadline from other errors by the clock, since the library's search for an error costs more than the read.

Red before: TestShutdownAnswersRequestsSentAhead, request 2 of 3 got no answer.

--- a/serving/ahead_test.go
+++ b/serving/ahead_test.go
@@ -171,3 +171,50 @@
 		_ = c.Close()
 	}
 }
+
+// TestShutdownAnswersRequestsSentAhead guards against a shutdown that closes a connection behind the response in
+// progress although further requests on it were received.
+func TestShutdownAnswersRequestsSentAhead(t *testing.T) {
+	begun, release := make(chan string, 10), make(chan struct{})
+	e := NewEcho()
+	e.Any("/*", func(c echo.Context) error {
+		begun <- c.Request().URL.Path
+		<-release
+		return c.String(http.StatusOK, c.Request().URL.Path)
+	})
+	s, err := Listen(e, netip.MustParseAddrPort("127.0.0.1:0"), settings.Limits{MaxConnections: 100, MaxHeaderBytes: 1 << 16})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := NewGuard(GuardOptions{Name: "test", Log: zerolog.Nop()})
+	s.Guarded(g)
+	go func() { _ = s.Serve() }()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, request(1, "", false)+request(2, "order", false)+request(3, "", false))
+	await(t, "the request", begun)
+	s.DisableKeepAlives(true)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(10 * time.Second) }()
+	// The shutdown has begun, or waits for what was sent ahead.
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	in := bufio.NewReader(c)
+	for id := 1; id <= 3; id++ {
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("request %d got no answer: %v", id, err)
+		}
+		text, _ := io.ReadAll(res.Body)
+		if string(text) != fmt.Sprint("/", id) || res.Close != (id == 3) {
+			t.Errorf("request %d got %q, closes %v", id, text, res.Close)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/serving/aheadconn.go
+++ b/serving/aheadconn.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"tanagerbarrow/bodybuf"
@@ -155,25 +154,33 @@
 		n, err := c.Conn.Read(buffer)
 		c.keep(buffer[:n])
 		buffer = buffer[n:]
-		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return err
-		case err != nil:
-			// Nobody waits for what a caller has sent before it left.
-			c.drop()
-			return c.finish(err)
-		case c.pace != nil && c.behind() > minPacedAhead:
+		if err != nil {
+			return c.endWatch(err)
+		}
+		if c.pace != nil && c.behind() > minPacedAhead {
 			c.pace(ctx, n)
 		}
 	}
 }
 
+// endWatch returns the error of a read that has failed: that of the deadline, or that of the connection, of which
+// then nothing is delivered any more, since nobody waits for what a caller has sent before it left.
+func (c *aheadConn) endWatch(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired() {
+		return os.ErrDeadlineExceeded
+	}
+	c.end = err
+	c.releaseLocked()
+	return err
+}
+
 // awaitHangUp waits until the caller closes its connection, the read is ended, or for a time. It returns an
 // error in the first two cases.
 func (c *aheadConn) awaitHangUp(ctx context.Context) error {
 	if hungUp(c.Conn) {
-		c.drop()
-		return c.finish(io.EOF)
+		return c.endWatch(io.EOF)
 	}
 	timer := time.NewTimer(hangUpPoll)
 	defer timer.Stop()
@@ -231,14 +238,6 @@
 // expired reports whether the deadline of reads has passed. The caller holds the lock.
 func (c *aheadConn) expired() bool { return !c.deadline.IsZero() && !time.Now().Before(c.deadline) }
 
-// finish records the error at which the caller's bytes end, and returns it.
-func (c *aheadConn) finish(err error) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.end = err
-	return err
-}
-
 // reserve takes memory for bytes that are to be received.
 func (c *aheadConn) reserve(n int64) bool {
 	c.mu.Lock()
@@ -272,14 +271,7 @@
 	}
 }
 
-// drop forgets what was received.
-func (c *aheadConn) drop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.releaseLocked()
-}
-
-// releaseLocked is drop for a caller that holds the lock.
+// releaseLocked forgets what was received. The caller holds the lock.
 func (c *aheadConn) releaseLocked() {
 	if c.budget != nil {
 		c.budget.Release(c.reserved)
--- a/serving/guard.go
+++ b/serving/guard.go
@@ -158,10 +158,20 @@
 
 // busy reports whether any connection has a request that is in progress or was sent ahead.
 func (g *Guard) busy() bool {
+	return g.any(func(c *guardedConn) bool { return phase(c.phase.Load()) != phaseIdle || c.ahead.behind() > 0 })
+}
+
+// sentAhead reports whether any connection has requests that were sent ahead.
+func (g *Guard) sentAhead() bool {
+	return g.any(func(c *guardedConn) bool { return c.ahead.behind() > 0 })
+}
+
+// any reports whether a condition holds for any connection.
+func (g *Guard) any(holds func(*guardedConn) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		if phase(c.phase.Load()) != phaseIdle || c.ahead.behind() > 0 {
+		if holds(c) {
 			return true
 		}
 	}
--- a/serving/server.go
+++ b/serving/server.go
@@ -103,13 +103,15 @@
 }
 
 // AwaitAnswers waits until no connection has a request that is in progress or was sent ahead, at most for the given
-// time. [Server.Shutdown] would close connections without an answer to what was sent ahead. A server without a guard
-// doesn't wait.
-func (s *Server) AwaitAnswers(limit time.Duration) {
+// time. After [Server.Shutdown] has begun, what is sent ahead gets no answer. A server without a guard doesn't wait.
+func (s *Server) AwaitAnswers(limit time.Duration) { s.awaitGuard(limit, (*Guard).busy) }
+
+// awaitGuard waits while the guard, if there is one, has connections of a kind, at most for the given time.
+func (s *Server) awaitGuard(limit time.Duration, has func(*Guard) bool) {
 	if s.guard == nil {
 		return
 	}
-	for until := time.Now().Add(limit); s.guard.busy() && time.Now().Before(until); {
+	for until := time.Now().Add(limit); has(s.guard) && time.Now().Before(until); {
 		time.Sleep(drainPollPeriod)
 	}
 }
@@ -165,10 +167,11 @@
 }
 
 // Shutdown stops accepting connections, finishes requests in progress for at
-// most the given time, and then closes the remaining connections.
+// most the given time, and then closes the remaining connections. Requests that were sent ahead before are finished too.
 func (s *Server) Shutdown(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	s.awaitGuard(limit, (*Guard).sentAhead)
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close()
