--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -80,14 +80,16 @@
 // one that hasn't arrived by the request's deadline.
 func (k *callerRequest) readBody(ctx context.Context, budget *bodybuf.Budget, limit int64, pacer *linkPacer) error {
 	r := k.request
-	if r.ContentLength == 0 {
-		return nil
+	if r.ContentLength != 0 {
+		serving.LimitBody(r.Context(), k.deadline)
 	}
-	limits := requestBodyLimits(budget, limit)
-	serving.LimitBody(r.Context(), k.deadline)
 	if err := context.Cause(ctx); errors.Is(err, errStopping) {
 		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, codeStopping, "read the request body")
 	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	limits := requestBodyLimits(budget, limit)
 	body, err := budget.Read(pacer.incoming(ctx, k.progress.read(r.Body), r.ContentLength), r.ContentLength, limits)
 	if err == nil {
 		serving.BodyRead(r.Context())
--- a/gateway/estimate.go
+++ b/gateway/estimate.go
@@ -40,16 +40,16 @@
 
 // requestEstimate is what is expected of a kind of request.
 type requestEstimate struct {
-	// response is the time in seconds from the last byte that is sent to a backend server to the last one of its
-	// response. body and reply are the lengths of both bodies in bytes.
-	response, body, reply estimate
+	// responseTime is in seconds, from the last byte that is sent to a backend server to the last one of its
+	// response. bodyBytes and responseBytes are the lengths of both bodies.
+	responseTime, bodyBytes, responseBytes estimate
 }
 
 // expectation is what is expected of a request: the time of its response, and the usual lengths of its body and of
-// the response in bytes; 0 if they aren't known.
+// the response; 0 if they aren't known.
 type expectation struct {
-	response    time.Duration
-	body, reply int64
+	responseTime             time.Duration
+	bodyBytes, responseBytes int64
 }
 
 // requestEstimates are what is expected of requests, by their kinds. It is safe for concurrent use.
@@ -76,16 +76,16 @@
 			known = &requestEstimate{}
 			s.kind[k] = known
 		}
-		known.response.add(seen.response.Seconds())
-		known.reply.add(float64(seen.reply))
-		if seen.body > 0 {
-			known.body.add(float64(seen.body))
+		known.responseTime.add(seen.responseTime.Seconds())
+		known.responseBytes.add(float64(seen.responseBytes))
+		if seen.bodyBytes > 0 {
+			known.bodyBytes.add(float64(seen.bodyBytes))
 		}
 	}
 }
 
-// expected returns what is expected of a request. response is the time of the response if nothing is known.
-func (s *requestEstimates) expected(kind requestKind, response time.Duration) expectation {
+// expected returns what is expected of a request, with the given response time if nothing is known.
+func (s *requestEstimates) expected(kind requestKind, responseTime time.Duration) expectation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.kind[kind]
@@ -93,10 +93,10 @@
 		known = s.kind[requestKind{service: kind.service}]
 	}
 	if known == nil {
-		return expectation{response: response}
+		return expectation{responseTime: responseTime}
 	}
 	return expectation{
-		response: time.Duration(known.response.upper() * float64(time.Second)),
-		body:     int64(known.body.mean), reply: int64(known.reply.mean),
+		responseTime: time.Duration(known.responseTime.upper() * float64(time.Second)),
+		bodyBytes:    int64(known.bodyBytes.mean), responseBytes: int64(known.responseBytes.mean),
 	}
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -231,6 +231,11 @@
 	return c.String(status, e.Code+"\n")
 }
 
+// bodyUnread reports whether the request has a body that was not read to its end.
+func (k *callerRequest) bodyUnread() bool {
+	return k.request.ContentLength != 0 && !k.progress.receivedAll.Load()
+}
+
 // arrivedBodyWait bounds the reading of a body that has arrived with a request that is refused.
 const arrivedBodyWait = 5 * time.Millisecond
 
@@ -238,7 +243,7 @@
 // sent nothing behind it, and if the body is still arriving, since a refusal doesn't wait for it.
 func closesAfterRefusal(k *callerRequest) bool {
 	ctx := k.request.Context()
-	if k.request.ContentLength != 0 && !k.progress.receivedAll.Load() {
+	if k.bodyUnread() {
 		if serving.SentAhead(ctx) < k.request.ContentLength {
 			return true
 		}
@@ -263,7 +268,7 @@
 	}
 	c.Response().WriteHeader(res.status)
 	serving.Holds(c.Request().Context(), k.body.Len()+res.body.Len())
-	err := writeBody(c.Response(), res.body, k.progress.paceReply(g.pacer.outgoing(c.Request().Context(), res.body.Len())))
+	err := writeBody(c.Response(), res.body, k.progress.paceResponse(g.pacer.outgoing(c.Request().Context(), res.body.Len())))
 	g.recordRequest(k, res.status, nil)
 	return errors.Wrap(err, "write the response to the caller")
 }
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -79,7 +79,7 @@
 	}
 	c.Response().WriteHeader(res.status)
 	serving.Holds(r.Context(), k.body.Len()+res.body.Len())
-	err = writeBody(c.Response(), res.body, k.progress.paceReply(g.pacer.outgoing(r.Context(), res.body.Len())))
+	err = writeBody(c.Response(), res.body, k.progress.paceResponse(g.pacer.outgoing(r.Context(), res.body.Len())))
 	return errors.Wrap(err, "write the response to the other entry")
 }
 
@@ -172,6 +172,10 @@
 	g.countRelayed(e.Code)
 	g.failureLog.Warn().Str("event", "relay_failed").Str("request_id", logText(k.id)).Str("service", k.service).
 		Str("verdict", e.Verdict.String()).Str("reason", e.Code).Err(err).Send()
+	if k.bodyUnread() {
+		// The HTTP server would otherwise read the rest of the body before it responds.
+		h.Set("Connection", "close")
+	}
 	h.Set(headerRelayResult, e.Verdict.String()+" "+e.Code)
 	return c.NoContent(status)
 }
--- a/gateway/stopplan.go
+++ b/gateway/stopplan.go
@@ -8,13 +8,13 @@
 
 // need is what a request in progress still needs before its caller has the response.
 type need struct {
-	// receive and send are the bytes of its body that must still be received and sent, and reply those of the
+	// receive and send are the bytes of its body that must still be received and sent, and write those of the
 	// response that must still be written.
-	receive, send, reply int64
+	receive, send, write int64
 	// openEnded says that more bytes may come than are known, since the caller declared no length.
 	openEnded bool
-	// response is the expected time from the last byte that is sent to a backend server to the last one of its response.
-	response time.Duration
+	// responseTime is expected from the last byte that is sent to a backend server to the last one of its response.
+	responseTime time.Duration
 	// limit is the time after which the request ends in any case.
 	limit time.Duration
 	// passedOn says that a backend server may have a part of it, so that it can't be refused as
@@ -25,7 +25,7 @@
 }
 
 // bytes returns how many bytes must still be transferred.
-func (n need) bytes() int64 { return n.receive + n.send + n.reply }
+func (n need) bytes() int64 { return n.receive + n.send + n.write }
 
 // rank orders requests by their claim to the rest of the time: those first that can't be refused
 // any more, and last those whose end isn't known.
@@ -56,19 +56,19 @@
 	})
 	var refused []int
 	// Bodies share the link, so that any of those which are kept may be the last to be transferred.
-	bytes, response := int64(0), time.Duration(0)
+	bytes, responseTime := int64(0), time.Duration(0)
 	for _, i := range order {
 		n := needs[i]
-		slowest := response
+		slowest := responseTime
 		if n.limit > left {
-			slowest = max(response, n.response)
+			slowest = max(responseTime, n.responseTime)
 		}
 		if !n.passedOn && n.limit > left && transferTime(bytes+n.bytes(), rate)+slowest > left {
 			refused = append(refused, i)
 			continue
 		}
 		if n.bytes() > 0 {
-			bytes, response = bytes+n.bytes(), slowest
+			bytes, responseTime = bytes+n.bytes(), slowest
 		}
 	}
 	return refused
--- a/gateway/stopplan_test.go
+++ b/gateway/stopplan_test.go
@@ -11,7 +11,7 @@
 func TestUnanswerable(t *testing.T) {
 	const rate, forEver = 100_000, time.Hour
 	upload := func(bytes int64) need {
-		return need{receive: bytes, send: bytes, response: 100 * time.Millisecond, limit: forEver}
+		return need{receive: bytes, send: bytes, responseTime: 100 * time.Millisecond, limit: forEver}
 	}
 	with := func(n need, change func(*need)) need {
 		change(&n)
@@ -35,12 +35,12 @@
 		{"one that was passed on takes its part", []need{upload(40_000), passedOn}, time.Second, rate, []int{0}},
 		{"one that was passed on is never refused", []need{passedOn}, 0, rate, nil},
 		{"one without an end goes last", []need{with(upload(10_000), func(n *need) { n.openEnded, n.kept = true, true }), upload(40_000)}, time.Second, rate, []int{0}},
-		{"a long response", []need{{response: 2 * time.Second, limit: forEver}}, time.Second, rate, []int{0}},
-		{"a long response that its deadline ends", []need{{response: 2 * time.Second, limit: time.Second}}, time.Second, rate, nil},
-		{"a body behind which a long response follows", []need{upload(20_000), with(upload(20_000), func(n *need) { n.response = 300 * time.Millisecond })}, time.Second, rate, []int{1}},
-		{"responses that don't fit together", []need{{reply: 60_000, limit: forEver}, {reply: 50_000, limit: forEver}}, time.Second, rate, []int{0}},
-		{"a response takes its part", []need{{reply: 60_000, passedOn: true}, upload(25_000)}, time.Second, rate, []int{1}},
-		{"no body doesn't wait for others", []need{upload(40_000), {response: 900 * time.Millisecond, limit: forEver}}, time.Second, rate, nil},
+		{"a long response", []need{{responseTime: 2 * time.Second, limit: forEver}}, time.Second, rate, []int{0}},
+		{"a long response that its deadline ends", []need{{responseTime: 2 * time.Second, limit: time.Second}}, time.Second, rate, nil},
+		{"a body behind which a long response follows", []need{upload(20_000), with(upload(20_000), func(n *need) { n.responseTime = 300 * time.Millisecond })}, time.Second, rate, []int{1}},
+		{"responses that don't fit together", []need{{write: 60_000, limit: forEver}, {write: 50_000, limit: forEver}}, time.Second, rate, []int{0}},
+		{"a response takes its part", []need{{write: 60_000, passedOn: true}, upload(25_000)}, time.Second, rate, []int{1}},
+		{"no body doesn't wait for others", []need{upload(40_000), {responseTime: 900 * time.Millisecond, limit: forEver}}, time.Second, rate, nil},
 	} {
 		got := unanswerable(c.needs, c.left, c.rate)
 		slices.Sort(got)
