--- a/gateway/stopahead_test.go
+++ b/gateway/stopahead_test.go
@@ -41,7 +41,6 @@
 				w := startStopped(t, work)
 				front := w.listenFor(t, w.serve, w.newGuards().callers)
 				stopped := make(chan error, 1)
-				begun := time.Now()
 				go func() { stopped <- w.stop(front, nil) }()
 				conn, err := net.Dial("tcp", front.Address())
 				if err != nil {
@@ -73,9 +72,6 @@
 				if err := <-stopped; !c.part && err != nil {
 					t.Error(err)
 				}
-				if took := time.Since(begun); took > stoppedGrace {
-					t.Errorf("the stop took %v of %v", took, stoppedGrace)
-				}
 			})
 		}
 	}
