--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -18,7 +18,6 @@
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"memory": memoryCase,
-	"target": targetCase,
 	"storm":  stormCase,
 }
 
